--- /dev/null
+++ b/api/request.go
@@ -0,0 +1,128 @@
+// Package api holds the wire types that callers, workers and operators exchange
+// with oleanderchute, and the typed outcomes and errors they carry. Durations are
+// integers in milliseconds and sizes integers in the unit that the field names.
+package api
+
+import "time"
+
+// MaxBodyBytes is the largest request body and the largest answer, in bytes.
+const MaxBodyBytes = 1 << 20
+
+// Class is the urgency of a request.
+type Class string
+
+// The classes, most urgent first.
+const (
+	ClassUrgent Class = "urgent"
+	ClassNormal Class = "normal"
+	ClassLow    Class = "low"
+)
+
+// Workload selects the placement policy of a route.
+type Workload string
+
+// The workloads.
+const (
+	WorkloadService Workload = "service"
+	WorkloadBatch   Workload = "batch"
+	WorkloadGang    Workload = "gang"
+)
+
+// Resources is an amount of what a worker holds or a task needs.
+type Resources struct {
+	MilliCPU     int64 `json:"milli_cpu" cbor:"1,keyasint,omitempty"`
+	MemoryMB     int64 `json:"memory_mb" cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Fits reports whether r is at most avail in every dimension.
+func (r Resources) Fits(avail Resources) bool {
+	return r.MilliCPU <= avail.MilliCPU && r.MemoryMB <= avail.MemoryMB && r.Accelerators <= avail.Accelerators
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// RequestKey identifies a request within its home partition. A resend carries the
+// same key and joins the execution of the first.
+type RequestKey struct {
+	Caller string `json:"caller" cbor:"1,keyasint"`
+	Key    string `json:"key" cbor:"2,keyasint"`
+}
+
+// String returns "caller/key", for logs.
+func (k RequestKey) String() string { return k.Caller + "/" + k.Key }
+
+// SubmitRequest is the body of POST /v1/requests.
+type SubmitRequest struct {
+	Caller string `json:"caller"`
+	Key    string `json:"key"`
+	// Kind is the name of a route or one of its aliases.
+	Kind string `json:"kind"`
+	// Team is charged for the work; empty means the caller's own name.
+	Team string `json:"team,omitempty"`
+	// Class defaults to normal.
+	Class     Class     `json:"class,omitempty"`
+	Resources Resources `json:"resources"`
+	// Tasks is the number of tasks of a gang; 0 means 1.
+	Tasks int `json:"tasks,omitempty"`
+	// RunTimeMillis is the declared run time in milliseconds; 0 means unknown.
+	RunTimeMillis int64 `json:"run_time_ms,omitempty"`
+	// DeadlineMillis is how long after acceptance, in milliseconds, the work may
+	// still start; 0 means no deadline.
+	DeadlineMillis int64 `json:"deadline_ms,omitempty"`
+	// NonIdempotent marks work that must run at most once.
+	NonIdempotent bool `json:"non_idempotent,omitempty"`
+	// WaitMillis is how long, in milliseconds, the call may wait for an outcome.
+	WaitMillis int64  `json:"wait_ms,omitempty"`
+	Body       []byte `json:"body,omitempty"`
+}
+
+// State is the state of an accepted request.
+type State string
+
+// The states. Done, failed and not_run are final. Unknown may still turn into one
+// of the final states when the worker reports.
+const (
+	StateQueued  State = "queued"
+	StateClaimed State = "claimed"
+	StateRunning State = "running"
+	StateDone    State = "done"
+	StateFailed  State = "failed"
+	StateNotRun  State = "not_run"
+	StateUnknown State = "unknown"
+)
+
+// IsFinal reports whether the state never changes again.
+func (s State) IsFinal() bool { return s == StateDone || s == StateFailed || s == StateNotRun }
+
+// IsOutcome reports whether the state is one that a waiting caller is answered with.
+func (s State) IsOutcome() bool { return s.IsFinal() || s == StateUnknown }
+
+// RequestStatus answers a submit, a query or a cancel.
+type RequestStatus struct {
+	Caller string `json:"caller"`
+	Key    string `json:"key"`
+	Kind   string `json:"kind,omitempty"`
+	State  State  `json:"state"`
+	// Reason explains not_run, failed and unknown, and what a queued request waits for.
+	Reason string `json:"reason,omitempty"`
+	Worker string `json:"worker,omitempty"`
+	// Attempt counts dispatches of this request from 1; 0 means never dispatched.
+	Attempt int `json:"attempt,omitempty"`
+	// Answer is whole: AnswerDigest is the hexadecimal SHA-256 of it.
+	Answer       []byte `json:"answer,omitempty"`
+	AnswerDigest string `json:"answer_digest,omitempty"`
+	// WaitedMillis is the time from acceptance to the first dispatch in milliseconds.
+	WaitedMillis int64 `json:"waited_ms,omitempty"`
+}
+
+// Millis converts a duration to whole milliseconds.
+func Millis(d time.Duration) int64 { return d.Milliseconds() }
