--- a/placement/types.go
+++ b/placement/types.go
@@ -33,19 +33,18 @@
 
 // Item is a request that waits for a place.
 type Item struct {
-	Key         api.RequestKey
-	Pool        string
-	Kind        string
-	Team        string
-	Class       api.Class
-	Workload    api.Workload
-	Resources   api.Resources // of one task
-	Tasks       int           // 1 unless a gang
-	RunTime     time.Duration // declared; 0 if unknown
-	Region      string        // of the caller; "" if unknown
-	Accepted    time.Duration
-	Deadline    time.Duration // latest start; 0 if none
-	Accelerated bool
+	Key       api.RequestKey
+	Pool      string
+	Kind      string
+	Team      string
+	Class     api.Class
+	Workload  api.Workload
+	Resources api.Resources // of one task
+	Tasks     int           // 1 unless a gang
+	RunTime   time.Duration // declared; 0 if unknown
+	Region    string        // of the caller; "" if unknown
+	Accepted  time.Duration
+	Deadline  time.Duration // latest start; 0 if none
 }
 
 // Verdict classifies an admission.
