raft: replicated log core

The control and partition groups need a replicated log with leader leases, learners and detection of rolled-back disks.

--- /dev/null
+++ b/raft/recovery.go
@@ -0,0 +1,216 @@
+package raft
+
+// A data folder that was restored from an old copy makes a node forget votes and
+// acknowledgements that others count on. The order of states that a disk goes through
+// is total: by Starts, then by term, and within a term by vote and by the index that
+// was acknowledged. Every node remembers, in memory only, the newest such state it has
+// seen of each member (MemberFact); the leader passes on what it knows of the voters
+// once per election timeout. A restarted node asks all peers (hello) and takes part
+// when a quorum, itself included, has answered and either all voters have answered or
+// an election timeout has passed. A later answer that shows a loss still counts.
+//
+// All voters may restart at once: a recovering node answers a hello, so they recover
+// from each other, and a single voter needs no answer.
+//
+// What cannot be detected: a loss that only unreachable or since restarted peers know
+// of, as facts are not persisted. In particular, of three voters A, B and V, if A
+// committed an entry with V alone, A is then gone, and V returns from an older copy, B
+// cannot know of that entry. Old copies on a majority at once are not detected either.
+// The vote of a peer for this node is on the peer's disk and survives its restart.
+
+// startRecovery makes a restarted node ask its peers before it takes part.
+func (n *Node) startRecovery() {
+	n.role = RoleRecovering
+	n.voteAfter = n.now + n.cfg.ElectionTimeout
+	n.recoverWait = n.voteAfter
+	n.answered = map[NodeID]bool{}
+	n.sendHello()
+	n.finishRecovery()
+}
+
+func (n *Node) tickRecovery() {
+	n.repeatHello()
+	n.finishRecovery()
+}
+
+// sendHello asks the voters that have not answered yet.
+func (n *Node) sendHello() {
+	n.helloAt = n.now + 2*n.cfg.HeartbeatInterval
+	for _, id := range n.membership.Voters {
+		if id != n.cfg.ID && !n.answered[id] {
+			n.send(Message{Kind: MsgHello, To: id})
+		}
+	}
+}
+
+// repeatHello repeats the hello to silent voters, also after recovery but then only
+// until the wait after the restart is over.
+func (n *Node) repeatHello() {
+	if n.answered != nil && n.now >= n.helloAt && (n.role == RoleRecovering || n.now < n.voteAfter) {
+		n.sendHello()
+	}
+}
+
+// finishRecovery lets the node take part if enough voters have answered.
+func (n *Node) finishRecovery() {
+	if len(n.membership.Voters) == 0 && len(n.answered) == 0 {
+		return
+	}
+	have, others := 0, 0
+	for _, id := range n.membership.Voters {
+		switch {
+		case id == n.cfg.ID:
+			have++
+			continue
+		case n.answered[id]:
+			have++
+		default:
+			others++
+		}
+	}
+	if have < n.answersNeeded() || others > 0 && n.now < n.recoverWait {
+		return
+	}
+	n.role = n.passiveRole()
+	n.resetDeadline()
+}
+
+// answersNeeded is a quorum; a node that stopped before it learned the membership takes
+// the answer of one leader.
+func (n *Node) answersNeeded() int {
+	if len(n.membership.Voters) == 0 {
+		return 0
+	}
+	return n.membership.quorum()
+}
+
+// askStranger sends a hello to a leader that this disk does not know as a voter.
+func (n *Node) askStranger(m Message) {
+	if m.Kind == MsgAppend && !n.membership.IsVoter(m.From) && !n.answered[m.From] {
+		n.send(Message{Kind: MsgHello, To: m.From})
+	}
+}
+
+// answerHello tells a restarted node what is known of it.
+func (n *Node) answerHello(m Message) {
+	if n.membership.IsMember(m.From) {
+		n.started[m.From] = max(n.started[m.From], m.Starts)
+	}
+	if n.membership.IsMember(n.cfg.ID) {
+		n.sendFacts(m.From, m.Starts)
+	}
+}
+
+// sendFacts sends what is known of a member; starts is that of its hello, 0 if it did
+// not ask.
+func (n *Node) sendFacts(to NodeID, starts uint64) {
+	f := n.facts[to]
+	f.ID = to
+	if n.hs.Vote == to {
+		f = f.merge(MemberFact{Term: n.hs.Term, Vote: to})
+	}
+	n.send(Message{Kind: MsgHelloResponse, To: to, Hint: starts, Facts: []MemberFact{f}})
+}
+
+func (n *Node) onHelloResponse(m Message) {
+	for _, f := range m.Facts {
+		if f.ID == n.cfg.ID && n.contradicts(f) {
+			n.forget()
+			return
+		}
+	}
+	if n.answered == nil || m.Hint != n.hs.Starts {
+		return
+	}
+	n.answered[m.From] = true
+	if n.role == RoleRecovering {
+		n.finishRecovery()
+	}
+}
+
+// contradicts reports whether f shows a state that this disk should hold and does not.
+// While recovering, nothing but hellos was sent in this start, so a fact of the same
+// Starts stems from an earlier life of this identity.
+func (n *Node) contradicts(f MemberFact) bool {
+	if f.Starts > n.hs.Starts || f.Starts == n.hs.Starts && n.role == RoleRecovering {
+		return true
+	}
+	if f.Term != n.hs.Term {
+		return f.Term > n.hs.Term
+	}
+	return f.Index > n.log.last() || f.Vote != "" && f.Vote != n.hs.Vote
+}
+
+// forget takes the node out of voting for good. Unsent answers are dropped.
+func (n *Node) forget() {
+	n.StepDown()
+	n.hs.Forgot = true
+	n.role, n.leader, n.messages = RoleForgot, "", nil
+}
+
+// merge returns the newer of two facts about one member.
+func (f MemberFact) merge(g MemberFact) MemberFact {
+	f.Starts = max(f.Starts, g.Starts)
+	switch {
+	case g.Term > f.Term:
+		f.Term, f.Index, f.Vote = g.Term, g.Index, g.Vote
+	case g.Term == f.Term:
+		f.Index = max(f.Index, g.Index)
+		if g.Vote != "" {
+			f.Vote = g.Vote
+		}
+	}
+	return f
+}
+
+// learnFacts notes what a message shows of its sender's disk.
+func (n *Node) learnFacts(m Message) {
+	f := MemberFact{ID: m.From, Starts: m.Starts, Term: m.Term}
+	switch {
+	case m.Kind == MsgPreVote, m.Kind == MsgPreVoteResponse && !m.Reject:
+		f.Term = 0 // a term that may never come
+	case m.Kind == MsgVote:
+		f.Vote = m.From
+	case m.Kind == MsgVoteResponse && !m.Reject:
+		f.Vote = n.cfg.ID
+	case m.Kind == MsgAppend:
+		f.Index = m.Index + uint64(len(m.Entries))
+	case m.Kind == MsgAppendResponse && !m.Reject:
+		f.Index = m.Index
+	}
+	n.mergeFact(f)
+	for _, g := range m.Facts {
+		if g.ID != n.cfg.ID {
+			n.mergeFact(g)
+		}
+	}
+}
+
+func (n *Node) mergeFact(f MemberFact) {
+	if n.membership.IsMember(f.ID) {
+		old := n.facts[f.ID]
+		old.ID = f.ID
+		n.facts[f.ID] = old.merge(f)
+	}
+}
+
+// factsFor returns what is known of the voters other than id.
+func (n *Node) factsFor(id NodeID) []MemberFact {
+	var fs []MemberFact
+	for _, v := range n.membership.Voters {
+		if f, ok := n.facts[v]; ok && v != id {
+			fs = append(fs, f)
+		}
+	}
+	return fs
+}
+
+// pruneFacts drops the facts of nodes that are no longer members.
+func (n *Node) pruneFacts() {
+	for id := range n.facts {
+		if !n.membership.IsMember(id) {
+			delete(n.facts, id)
+			delete(n.started, id)
+		}
+	}
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -33,7 +33,13 @@
 	Observer bool
 	// MaxAppendBytes bounds the entries of one append message; default 1 MiB.
 	MaxAppendBytes int
-	Seed           uint64
+	// MaxInflightBytes bounds the entry bytes sent to one follower and not yet
+	// acknowledged; default 4 MiB. One append may exceed it by MaxAppendBytes.
+	MaxInflightBytes int
+	// KeepBytes bounds the entries that stay in memory before a compaction point, for
+	// followers that are a little behind; default 1 MiB.
+	KeepBytes int
+	Seed      uint64
 }
 
 // HardState is the state that is synced before any message that depends on it.
@@ -100,8 +106,22 @@
 	MsgSnapshot
 	MsgHello // a restarted voter asks its peers what they know of it
 	MsgHelloResponse
+	MsgTimeoutNow // a leader that gave up its lease asks the addressee to stand at once
 )
 
+// MemberFact is what a node knows of another from the messages it received. The
+// sender had synced all of it before it sent them, so a disk that holds less was
+// rolled back.
+type MemberFact struct {
+	ID     NodeID `cbor:"1,keyasint"`
+	Starts uint64 `cbor:"2,keyasint,omitempty"`
+	Term   uint64 `cbor:"3,keyasint,omitempty"`
+	// Index is the highest index that the member acknowledged, or sent as a leader, in
+	// Term; Vote is its vote in Term, if known.
+	Index uint64 `cbor:"4,keyasint,omitempty"`
+	Vote  NodeID `cbor:"5,keyasint,omitempty"`
+}
+
 // Message is what nodes of one group send each other.
 type Message struct {
 	Kind  MessageKind `cbor:"1,keyasint"`
@@ -127,12 +147,24 @@
 	// sent; only then does Echo confirm Commit.
 	LeaseHeld bool   `cbor:"15,keyasint,omitempty"`
 	Starts    uint64 `cbor:"16,keyasint,omitempty"`
+	// EchoStarts is the Starts of the addressee that goes with Echo in an append: times
+	// of different starts have different origins.
+	EchoStarts uint64 `cbor:"17,keyasint,omitempty"`
+	// Transfer is true in the vote request of a candidate whose leader gave up its lease.
+	Transfer bool `cbor:"18,keyasint,omitempty"`
+	// Observer is true in the response of a node that must not be promoted.
+	Observer bool `cbor:"19,keyasint,omitempty"`
+	// Facts are what the sender knows of the addressee (MsgHelloResponse) or of the
+	// other voters (MsgAppend).
+	Facts []MemberFact `cbor:"20,keyasint,omitempty"`
 }
 
-// Ready is a batch of work for the embedder, in the order of its fields.
+// Ready is a batch of work for the embedder, in the order of its fields. Its slices
+// are shared with the node and must not be modified.
 type Ready struct {
 	// HardState, Entries and Snapshot are to be persisted and synced; HardState is
 	// valid when HardStateChanged. Snapshot, if not nil, replaces log and state machine.
+	// Entries replace all persisted entries from Entries[0].Index on.
 	HardState        HardState
 	HardStateChanged bool
 	Entries          []Entry
@@ -151,13 +183,14 @@
 	RoleCandidate
 	RoleLeader
 	RoleLearner
-	RoleRecovering // a restarted voter that waits for its peers' hello responses
-	RoleForgot     // a voter whose disk lost state; it never votes again
+	RoleRecovering    // a restarted voter that waits for its peers' hello responses
+	RoleForgot        // a voter whose disk lost state; it never votes again
+	RoleStorageFailed // the embedder cannot persist; the node takes no further part
 )
 
 // String returns the role in lower case, as operators see it.
 func (r Role) String() string {
-	names := [...]string{"voter", "voter", "voter", "leader", "follower", "recovering", "forgot"}
+	names := [...]string{"voter", "voter", "voter", "leader", "follower", "recovering", "forgot", "storage-failed"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -166,15 +199,18 @@
 
 // Status is a view of a node for routing, status pages and tests.
 type Status struct {
-	ID         NodeID
-	Group      string
-	Role       Role
-	Term       uint64
-	Leader     NodeID
-	Commit     uint64
-	Applied    uint64
-	LastIndex  uint64
-	Membership Membership
+	ID      NodeID
+	Group   string
+	Role    Role
+	Term    uint64
+	Leader  NodeID
+	Commit  uint64
+	Applied uint64
+	// AppliedTerm is the term of the entry at Applied. A leader has committed and
+	// applied an entry of its own term when AppliedTerm equals Term.
+	AppliedTerm uint64
+	LastIndex   uint64
+	Membership  Membership
 	// Match is the acknowledged index of each member, on the leader only.
 	Match map[NodeID]uint64
 }
