raft: random event test; voters under removal, recovery with an old membership

A voter whose uncommitted removal only it held could neither stand nor let a shorter log win, so the group had no leader. A restarted voter with an outdated membership waited for answers of voters that had been removed. A single voter with an old copy recovered at once and never heard the leader of the group that had grown since.

--- a/raft/election.go
+++ b/raft/election.go
@@ -19,11 +19,24 @@
 // answersVotes reports whether the node's answer may count. Learners answer too: one
 // that was promoted may not know it yet, and only voters are asked and counted.
 func (n *Node) answersVotes() bool {
-	return !n.cfg.Observer && n.membership.IsMember(n.cfg.ID)
+	return !n.cfg.Observer && n.isMember()
 }
 
+// isMember reports whether the node is a member by its newest membership, or was a
+// voter by the newest committed one.
+func (n *Node) isMember() bool {
+	return n.membership.IsMember(n.cfg.ID) || n.committedVoter()
+}
+
+// mayStand reports whether the node may stand for election. A voter whose removal is
+// not committed may: it can be the only one that holds that entry, and then nobody
+// with a shorter log can win. Its own vote does not count.
 func (n *Node) mayStand() bool {
-	return !n.cfg.Observer && n.membership.IsVoter(n.cfg.ID)
+	return !n.cfg.Observer && (n.membership.IsVoter(n.cfg.ID) || n.committedVoter())
+}
+
+func (n *Node) committedVoter() bool {
+	return n.memberships.at(n.log.commit).IsVoter(n.cfg.ID)
 }
 
 // startPreVote asks whether an election could be won, without raising the term.
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -218,7 +218,7 @@
 
 // passiveRole is the role of a node that neither leads nor stands for election.
 func (n *Node) passiveRole() Role {
-	if n.membership.IsVoter(n.cfg.ID) {
+	if n.membership.IsVoter(n.cfg.ID) || n.committedVoter() {
 		return RoleFollower
 	}
 	return RoleLearner
--- a/raft/node.go
+++ b/raft/node.go
@@ -54,6 +54,9 @@
 	answered    map[NodeID]bool
 	helloAt     time.Duration
 	recoverWait time.Duration // when a quorum of answers is enough
+	// peers is the newest membership known from the disk or an answer, of entry peersIndex.
+	peers      Membership
+	peersIndex uint64
 }
 
 // New returns a node. rec is the zero value on first start, else what the data folder
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -7,10 +7,12 @@
 // seen of each member (MemberFact); the leader passes on what it knows of the voters
 // once per election timeout. A restarted node asks all peers (hello) and takes part
 // when a quorum, itself included, has answered and either all voters have answered or
-// an election timeout has passed. A later answer that shows a loss still counts.
+// an election timeout has passed. A later answer that shows a loss still counts. The
+// voters are those of the newest membership that its disk or an answer shows.
 //
 // All voters may restart at once: a recovering node answers a hello, so they recover
-// from each other, and a single voter needs no answer.
+// from each other. A single voter needs no answer; it waits all the same, so that the
+// leader of a group that has grown since an old copy can make itself heard.
 //
 // What cannot be detected: a loss that only unreachable or since restarted peers know
 // of, as facts are not persisted. In particular, of three voters A, B and V, if A
@@ -24,6 +26,7 @@
 	n.voteAfter = n.now + n.cfg.ElectionTimeout
 	n.recoverWait = n.voteAfter
 	n.answered = map[NodeID]bool{}
+	n.peers, n.peersIndex = n.membership, n.changeIndex()
 	n.sendHello()
 	n.finishRecovery()
 }
@@ -36,7 +39,7 @@
 // sendHello asks the voters that have not answered yet.
 func (n *Node) sendHello() {
 	n.helloAt = n.now + 2*n.cfg.HeartbeatInterval
-	for _, id := range n.membership.Voters {
+	for _, id := range n.peers.Voters {
 		if id != n.cfg.ID && !n.answered[id] {
 			n.send(Message{Kind: MsgHello, To: id})
 		}
@@ -53,11 +56,11 @@
 
 // finishRecovery lets the node take part if enough voters have answered.
 func (n *Node) finishRecovery() {
-	if len(n.membership.Voters) == 0 && len(n.answered) == 0 {
+	if len(n.peers.Voters) == 0 && len(n.answered) == 0 {
 		return
 	}
 	have, others := 0, 0
-	for _, id := range n.membership.Voters {
+	for _, id := range n.peers.Voters {
 		switch {
 		case id == n.cfg.ID:
 			have++
@@ -68,7 +71,8 @@
 			others++
 		}
 	}
-	if have < n.answersNeeded() || others > 0 && n.now < n.recoverWait {
+	all := others == 0 && len(n.answered) > 0
+	if have < n.answersNeeded() || !all && n.now < n.recoverWait {
 		return
 	}
 	n.role = n.passiveRole()
@@ -78,15 +82,15 @@
 // answersNeeded is a quorum; a node that stopped before it learned the membership takes
 // the answer of one leader.
 func (n *Node) answersNeeded() int {
-	if len(n.membership.Voters) == 0 {
+	if len(n.peers.Voters) == 0 {
 		return 0
 	}
-	return n.membership.quorum()
+	return n.peers.quorum()
 }
 
 // askStranger sends a hello to a leader that this disk does not know as a voter.
 func (n *Node) askStranger(m Message) {
-	if m.Kind == MsgAppend && !n.membership.IsVoter(m.From) && !n.answered[m.From] {
+	if m.Kind == MsgAppend && !n.peers.IsVoter(m.From) && !n.answered[m.From] {
 		n.send(Message{Kind: MsgHello, To: m.From})
 	}
 }
@@ -96,7 +100,7 @@
 	if n.membership.IsMember(m.From) {
 		n.started[m.From] = max(n.started[m.From], m.Starts)
 	}
-	if n.membership.IsMember(n.cfg.ID) {
+	if n.isMember() {
 		n.sendFacts(m.From, m.Starts)
 	}
 }
@@ -109,7 +113,9 @@
 	if n.hs.Vote == to {
 		f = f.merge(MemberFact{Term: n.hs.Term, Vote: to})
 	}
-	n.send(Message{Kind: MsgHelloResponse, To: to, Hint: starts, Facts: []MemberFact{f}})
+	ms := n.membership.clone()
+	n.send(Message{Kind: MsgHelloResponse, To: to, Hint: starts, Facts: []MemberFact{f},
+		Index: n.changeIndex(), Membership: &ms})
 }
 
 func (n *Node) onHelloResponse(m Message) {
@@ -123,6 +129,9 @@
 		return
 	}
 	n.answered[m.From] = true
+	if m.Membership != nil && m.Index > n.peersIndex {
+		n.peers, n.peersIndex = *m.Membership, m.Index
+	}
 	if n.role == RoleRecovering {
 		n.finishRecovery()
 	}
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -234,6 +234,7 @@
 		return
 	}
 	n.pruneFacts()
+	n.membershipChanged()
 	if n.role == RoleLeader && !n.membership.IsVoter(n.cfg.ID) {
 		n.becomeFollower(n.hs.Term, "")
 	}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -16,16 +16,15 @@
 
 // host is one simulated machine: a clock, a disk and, while it is up, a node.
 type host struct {
-	cfg        Config
-	node       *Node // nil while down
-	rate       float64
-	boot       time.Duration // true time of the last start
-	disk       Recovered
-	copy       *Recovered // an old copy of the disk
-	pending    *Ready     // returned and not yet synced
-	paused     bool
-	cut        bool // the network loses everything from and to it
-	appliedSum uint64
+	cfg     Config
+	node    *Node // nil while down
+	rate    float64
+	boot    time.Duration // true time of the last start
+	disk    Recovered
+	copy    *Recovered // an old copy of the disk
+	pending *Ready     // returned and not yet synced
+	paused  bool
+	cut     bool // the network loses everything from and to it
 }
 
 func (h *host) local(t time.Duration) time.Duration {
--- a/raft/types.go
+++ b/raft/types.go
@@ -157,6 +157,9 @@
 	// Facts are what the sender knows of the addressee (MsgHelloResponse) or of the
 	// other voters (MsgAppend).
 	Facts []MemberFact `cbor:"20,keyasint,omitempty"`
+	// Membership is the sender's newest in a MsgHelloResponse, and Index its entry. The
+	// membership on the disk of a restarted voter may be out of date.
+	Membership *Membership `cbor:"21,keyasint,omitempty"`
 }
 
 // Ready is a batch of work for the embedder, in the order of its fields. Its slices
