--- /dev/null
+++ b/storage/fs.go
@@ -0,0 +1,173 @@
+package storage
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// The operations named in a DiskError.
+const (
+	opOpen   = "open"
+	opRead   = "read"
+	opWrite  = "write"
+	opSync   = "sync"
+	opRename = "rename"
+	opRemove = "remove"
+	opMkdir  = "mkdir"
+)
+
+const (
+	filePerm = 0o600
+	dirPerm  = 0o700
+)
+
+// FS is the part of a file system that the package uses. Tests inject faults here.
+type FS interface {
+	// Create opens a new, empty file for appending; an existing file is emptied.
+	Create(path string) (File, error)
+	// Append opens an existing file for appending.
+	Append(path string) (File, error)
+	ReadFile(path string) ([]byte, error)
+	// ReadDir returns the sorted names in a folder.
+	ReadDir(path string) ([]string, error)
+	// Mkdir creates one folder; its parent must exist.
+	Mkdir(path string) error
+	Rename(from, to string) error
+	Remove(path string) error
+	RemoveAll(path string) error
+	// SyncDir makes creations, renames and removals in a folder durable.
+	SyncDir(path string) error
+	// Lock takes an exclusive lock or returns ErrLocked. The lock ends with the process.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is a file open for appending.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// OS is the operating system's file system.
+type OS struct{}
+
+// Create implements FS.
+func (OS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, filePerm)
+}
+
+// Append implements FS.
+func (OS) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, filePerm)
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// ReadDir implements FS.
+func (OS) ReadDir(path string) ([]string, error) {
+	list, err := os.ReadDir(path)
+	names := make([]string, 0, len(list))
+	for _, e := range list {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+// Mkdir implements FS.
+func (OS) Mkdir(path string) error { return os.Mkdir(path, dirPerm) }
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// RemoveAll implements FS.
+func (OS) RemoveAll(path string) error { return os.RemoveAll(path) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// Lock implements FS with flock, which also refuses a second lock in one process.
+func (OS) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, filePerm)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, errors.Wrap(ErrLocked, path)
+		}
+		return nil, err
+	}
+	return f, nil
+}
+
+// writeFile creates path with data, durable when it returns. The file stays open for
+// appending.
+func writeFile(fs FS, path string, data []byte) (File, error) {
+	tmp := path + tmpSuffix
+	f, err := fs.Create(tmp)
+	if err != nil {
+		return nil, diskError(opOpen, tmp, err)
+	}
+	if err := appendSync(f, tmp, data); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := fs.Rename(tmp, path); err != nil {
+		f.Close()
+		return nil, diskError(opRename, tmp, err)
+	}
+	if err := syncDir(fs, filepath.Dir(path)); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// appendSync writes data at the end of f and syncs it.
+func appendSync(f File, path string, data []byte) error {
+	if _, err := f.Write(data); err != nil {
+		return diskError(opWrite, path, err)
+	}
+	return diskError(opSync, path, f.Sync())
+}
+
+func syncDir(fs FS, path string) error { return diskError(opSync, path, fs.SyncDir(path)) }
+
+// mkdirSynced makes sure that a folder and its parents exist and are durable.
+func mkdirSynced(fsys FS, path string) error {
+	parent := filepath.Dir(path)
+	err := fsys.Mkdir(path)
+	if errors.Is(err, os.ErrNotExist) && parent != path {
+		if err := mkdirSynced(fsys, parent); err != nil {
+			return err
+		}
+		err = fsys.Mkdir(path)
+	}
+	if err != nil && !errors.Is(err, os.ErrExist) {
+		return diskError(opMkdir, path, err)
+	}
+	return syncDir(fsys, parent)
+}
+
+func takeLock(fsys FS, path string) (io.Closer, error) {
+	c, err := fsys.Lock(path)
+	if err != nil && !errors.Is(err, ErrLocked) {
+		return nil, diskError(opOpen, path, err)
+	}
+	return c, err
+}
--- /dev/null
+++ b/storage/record.go
@@ -0,0 +1,71 @@
+package storage
+
+import (
+	"bytes"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/pkg/errors"
+)
+
+// record is the payload of one frame of a segment. A Save is one record, so it is
+// recovered as a whole or not at all.
+type record struct {
+	Hard       *raft.HardState `cbor:"1,keyasint,omitempty"`
+	Entries    []raft.Entry    `cbor:"2,keyasint,omitempty"`
+	Mark       *mark           `cbor:"3,keyasint,omitempty"`
+	Checkpoint *checkpoint     `cbor:"4,keyasint,omitempty"`
+}
+
+// mark puts a snapshot in force. Its file is durable before the mark is written, and
+// a snapshot file without a mark is ignored.
+type mark struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	// Keep is true if the log held the entry of the snapshot, so that the entries
+	// after it stay; otherwise the snapshot replaces the log.
+	Keep bool `cbor:"3,keyasint"`
+}
+
+// checkpoint is the first record of a segment: the state in which the segment starts,
+// so that the segments before it can be dropped.
+type checkpoint struct {
+	Hard      raft.HardState `cbor:"1,keyasint"`
+	Mark      mark           `cbor:"2,keyasint"`
+	LastIndex uint64         `cbor:"3,keyasint"`
+}
+
+const maxArrayElements = 1 << 24
+
+var (
+	encMode = mustMode(cbor.EncOptions{}.UserBufferEncMode())
+	decMode = mustMode(cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode())
+)
+
+func mustMode[M any](m M, err error) M {
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// appendFrame encodes v as a frame at the end of buf.
+func appendFrame(buf *bytes.Buffer, v any, salt, seq uint64) error {
+	start := buf.Len()
+	buf.Write(make([]byte, frameHeader))
+	if err := encMode.MarshalToBuffer(v, buf); err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	b := buf.Bytes()[start:]
+	if len(b) > frameHeader+maxFramePayload {
+		return errors.Wrapf(ErrInvalid, "record of %d bytes", len(b))
+	}
+	sealFrame(b, salt, seq)
+	return nil
+}
+
+func decodeRecord(payload []byte) (record, error) {
+	var r record
+	err := decMode.Unmarshal(payload, &r)
+	return r, err
+}
--- /dev/null
+++ b/storage/segment.go
@@ -0,0 +1,71 @@
+package storage
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	segmentPrefix = "log-"
+	segmentSuffix = ".seg"
+	segmentMagic  = "oldlog01"
+	// segmentHeader is the magic and the salt, 8 bytes each.
+	segmentHeader = 16
+)
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	salt   uint64
+	size   int64 // bytes
+	// maxIndex is the highest index of any entry written to the segment, including
+	// entries that were overwritten later.
+	maxIndex uint64
+}
+
+func (s segment) name() string {
+	return fmt.Sprintf("%s%016x%s", segmentPrefix, s.number, segmentSuffix)
+}
+
+func (s *segment) noteEntries(r record) {
+	if n := len(r.Entries); n > 0 {
+		s.maxIndex = max(s.maxIndex, r.Entries[n-1].Index)
+	}
+}
+
+// startSegment returns a segment with a random salt and writes its header to buf.
+func startSegment(buf *bytes.Buffer, number uint64) (segment, error) {
+	salt := make([]byte, 8)
+	if _, err := rand.Read(salt); err != nil {
+		return segment{}, errors.Wrap(err, "random salt")
+	}
+	buf.WriteString(segmentMagic)
+	buf.Write(salt)
+	return segment{number: number, salt: binary.LittleEndian.Uint64(salt)}, nil
+}
+
+// segmentNumbers returns the numbers of the segments in a folder, ascending.
+func segmentNumbers(fs FS, dir string) ([]uint64, error) {
+	names, err := fs.ReadDir(dir)
+	if err != nil {
+		return nil, diskError(opRead, dir, err)
+	}
+	var list []uint64
+	for _, n := range names {
+		if !strings.HasPrefix(n, segmentPrefix) || !strings.HasSuffix(n, segmentSuffix) {
+			continue
+		}
+		var num uint64
+		if _, err := fmt.Sscanf(n, segmentPrefix+"%x", &num); err != nil {
+			return nil, &CorruptError{File: filepath.Join(dir, n), Reason: "segment name"}
+		}
+		list = append(list, num)
+	}
+	return list, nil
+}
