--- /dev/null
+++ b/bench/result.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/placement"
+)
+
+// timing measures the time spent in the policy.
+type timing struct {
+	total      time.Duration
+	decisions  []time.Duration
+	placements int
+}
+
+func (t *timing) measure(f func()) time.Duration {
+	start := time.Now()
+	f()
+	spent := time.Since(start)
+	t.total += spent
+	return spent
+}
+
+func (t *timing) decision(f func()) { t.decisions = append(t.decisions, t.measure(f)) }
+
+// useMeter adds up, within the workload's window, the part of the fleet that declared
+// sizes of running work take, by team, for the flood team's classes, and by dimension.
+type useMeter struct {
+	window    [2]time.Duration
+	now       time.Duration
+	capacity  [3]float64 // CPU, memory, slots
+	running   [3]float64
+	packed    [3]float64            // running times time, in seconds
+	team      map[string]float64    // dominant fraction running
+	teamUse   map[string]float64    // fraction times time
+	class     map[api.Class]float64 // of the flood team
+	classUse  map[api.Class]float64
+	acc       [2]float64 // accelerators: capacity, running
+	accPacked float64
+}
+
+func newUseMeter(w *Workload) *useMeter {
+	m := &useMeter{
+		window: w.Window, team: map[string]float64{}, teamUse: map[string]float64{},
+		class: map[api.Class]float64{}, classUse: map[api.Class]float64{},
+	}
+	for _, x := range w.Workers {
+		m.capacity[0] += float64(x.Capacity.MilliCPU)
+		m.capacity[1] += float64(x.Capacity.MemoryMB)
+		m.capacity[2] += float64(x.Slots)
+		m.acc[0] += float64(x.Capacity.Accelerators)
+	}
+	return m
+}
+
+// advance accounts for the time since the last call.
+func (m *useMeter) advance(now time.Duration) {
+	seconds := (min(now, m.window[1]) - max(m.now, m.window[0])).Seconds()
+	m.now = now
+	if seconds <= 0 {
+		return
+	}
+	for i := range m.packed {
+		m.packed[i] += m.running[i] * seconds
+	}
+	m.accPacked += m.acc[1] * seconds
+	for t, f := range m.team {
+		m.teamUse[t] += f * seconds
+	}
+	for c, f := range m.class {
+		m.classUse[c] += f * seconds
+	}
+}
+
+// change adds (sign 1) or removes (sign -1) the tasks of an item.
+func (m *useMeter) change(item *placement.Item, sign float64) {
+	n := sign * float64(item.Tasks)
+	amounts := [3]float64{float64(item.Resources.MilliCPU), float64(item.Resources.MemoryMB), 1}
+	fraction := 0.0
+	for i, a := range amounts {
+		m.running[i] += n * a
+		fraction = max(fraction, a/m.capacity[i])
+	}
+	m.acc[1] += n * float64(item.Resources.Accelerators)
+	m.team[item.Team] += n * fraction
+	if item.Team == floodTeam {
+		m.class[item.Class] += n * fraction
+	}
+}
+
+// scarcest returns the average packed part of the fullest dimension in the window.
+func (m *useMeter) scarcest() float64 {
+	seconds := (m.window[1] - m.window[0]).Seconds()
+	packed := 0.0
+	for i, p := range m.packed {
+		packed = max(packed, p/seconds/m.capacity[i])
+	}
+	if m.acc[0] > 0 {
+		packed = max(packed, m.accPacked/seconds/m.acc[0])
+	}
+	return packed
+}
+
+// Result is what one run measured.
+type Result struct {
+	MedianWait, P99Wait time.Duration // of all admitted work except the flood
+	UrgentP99           time.Duration // of admitted urgent work except the flood team's
+	Packed              float64       // scarcest dimension in the window
+	Refused, Expired    int
+	RefusedOther        int // refused or expired without being part of the flood team's work
+	Failed              int // gave up after failing on failing workers
+	DecisionsPerSecond  float64
+	P99Decision         time.Duration
+	Placements          int
+	Jobs                []JobResult
+	use                 *useMeter
+}
+
+// JobResult is the outcome of one arrival.
+type JobResult struct {
+	Key     api.RequestKey
+	Wait    time.Duration
+	Started bool
+}
+
+// result summarizes the run. Work that never started counts with the time it waited
+// until it expired or the run ended.
+func (d *driver) result() *Result {
+	r := &Result{use: d.use, Packed: d.use.scarcest(), Placements: d.timing.placements}
+	var waits, urgent []time.Duration
+	for _, j := range d.order {
+		item := &j.arrival.Item
+		wait := d.workload.End - item.Accepted
+		switch j.state {
+		case phaseRefused, phaseExpired:
+			if j.state == phaseRefused {
+				r.Refused++
+			} else {
+				r.Expired++
+				wait = item.Deadline - item.Accepted
+			}
+			if item.Team != floodTeam {
+				r.RefusedOther++
+			}
+		case phaseFailed:
+			r.Failed++
+		case phaseRunning, phaseDone:
+			wait = j.started - item.Accepted
+		}
+		r.Jobs = append(r.Jobs, JobResult{item.Key, wait, j.attempts > 0})
+		if j.state == phaseRefused || j.state == phaseCanceled || j.arrival.Flood {
+			continue
+		}
+		waits = append(waits, wait)
+		if item.Class == api.ClassUrgent && item.Team != floodTeam {
+			urgent = append(urgent, wait)
+		}
+	}
+	r.MedianWait, r.P99Wait = quantile(waits, 0.5), quantile(waits, 0.99)
+	r.UrgentP99 = quantile(urgent, 0.99)
+	r.P99Decision = quantile(d.timing.decisions, 0.99)
+	r.DecisionsPerSecond = float64(d.timing.placements) / d.timing.total.Seconds()
+	return r
+}
+
+// quantile sorts the list.
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[min(len(list)-1, int(q*float64(len(list))))]
+}
+
+// Kept compares a run with a flood to the run of the same policy without it: the part
+// of the share owed to other teams' work that it still got, together and for the team
+// that lost most. A team is owed what it used without the flood, at most its share.
+func Kept(flood, calm *Result, teams int) (all, worst float64) {
+	seconds := (flood.use.window[1] - flood.use.window[0]).Seconds()
+	var got, owed float64
+	worst = 1
+	for team, use := range calm.use.teamUse {
+		if team == floodTeam {
+			continue
+		}
+		due := min(use, seconds/float64(teams))
+		have := min(flood.use.teamUse[team], due)
+		got, owed = got+have, owed+due
+		if due > 0 {
+			worst = min(worst, have/due)
+		}
+	}
+	return got / owed, worst
+}
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -154,7 +154,7 @@
 // expectedWait is how long an item that joins the queue now is expected to wait: the
 // items ahead divided by the rate at which the class completes items.
 func (q *classQueue) expectedWait(now time.Duration, item *Item, demand vector) time.Duration {
-	if q.queued == 0 {
+	if q.queued == 0 || q.team.pool.hasRoomForAll(demand.times(int64(item.Tasks))) {
 		return 0
 	}
 	rate := q.completionRate(now, item, demand)
@@ -168,6 +168,14 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// hasRoomForAll reports whether the free room of the pool takes everything that is
+// queued and more, so that a queue only shows that decisions have yet to be made.
+func (p *pool) hasRoomForAll(more vector) bool {
+	more.add(p.waiting)
+	free := p.capacity.minus(p.reserved)
+	return more.fits(&free)
+}
+
 // completionRate is the items a second that the class completes. The observed rate
 // counts only after the queue has had work for completionDecay, since before that it
 // shows how few items came, and only within rateBound of the rate that its share
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -34,7 +34,7 @@
 // decide starts items of the pool until d holds max placements or nothing more fits.
 func (p *pool) decide(now time.Duration, max int, d *Decision) {
 	p.renewTrials(now)
-	p.renewHold(now)
+	p.renewHolds(now)
 	if len(d.Placements) >= max || !p.isAwake && p.retryAt > now {
 		return
 	}
@@ -103,7 +103,7 @@
 // try starts e and returns the worker of each task, or blocks its lane and returns nil.
 func (p *pool) try(now time.Duration, e *entry) []string {
 	t := e.lane.class.team
-	if t.exceedsQuota(e.demand.times(int64(e.item.Tasks))) >= 0 {
+	if t.exceedsQuota(e.total()) >= 0 {
 		// Only a release of the team changes this, and that unblocks the lane.
 		e.lane.blocked = true
 		return nil
@@ -127,8 +127,8 @@
 // start reserves the tasks of e and takes it out of the queue.
 func (p *pool) start(now time.Duration, e *entry, workers []*worker) []string {
 	s := p.s
-	if p.hold != nil && p.hold.entry == e {
-		p.clearHold()
+	if e.hold != nil {
+		p.clearHold(e.hold)
 	}
 	j := s.jobOf(e.item)
 	names := make([]string, len(workers))
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -71,7 +71,7 @@
 // waitsFor names what must change for e to start. fits is the number of workers with
 // room for one task.
 func (p *pool) waitsFor(now time.Duration, e *entry, fits int, ruledOut map[string]int) string {
-	if d := e.lane.class.team.exceedsQuota(e.demand.times(int64(e.item.Tasks))); d >= 0 {
+	if d := e.lane.class.team.exceedsQuota(e.total()); d >= 0 {
 		return fmt.Sprintf("the team's quota of %s", dimNames[d])
 	}
 	if len(p.workers) == 0 {
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -22,8 +22,8 @@
 		all = append(all, found...)
 		return e.assign(found)
 	}
-	if p.hold != nil && p.hold.entry == e {
-		all = append(all, p.hold.open()...)
+	if e.hold != nil {
+		all = append(all, e.hold.open()...)
 		if workers := e.assign(all); workers != nil {
 			return workers, 0
 		}
--- a/placement/health.go
+++ b/placement/health.go
@@ -31,6 +31,7 @@
 // kind that fails everywhere blames no worker, however often it fails.
 type health struct {
 	blame       float64
+	failing     float64         // part of the latest outcomes that are failures, whoever is to blame
 	lastFailed  map[string]bool // by kind
 	onProbation bool
 	trialAt     time.Duration // no trial before
@@ -53,6 +54,7 @@
 		k.succeeds++
 	}
 	w.health.lastFailed[kind] = failed
+	w.health.noteLatest(failed)
 	if w.health.onProbation {
 		p.judgeTrial(now, w, failed, peers)
 		return
@@ -63,6 +65,14 @@
 	}
 }
 
+// noteLatest halves the weight of older outcomes.
+func (h *health) noteLatest(failed bool) {
+	h.failing /= 2
+	if failed {
+		h.failing += 0.5
+	}
+}
+
 // forgetKind takes the last report of kind out of the kind's counts.
 func (h *health) forgetKind(k *kindStats, kind string) {
 	failed, ok := h.lastFailed[kind]
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -9,25 +9,30 @@
 
 const (
 	// holdAfter is how long the head of a lane within its team's share, and
-	// holdAfterAny how long any head, is passed by before workers are held for it.
-	holdAfter    = 5 * time.Second
-	holdAfterAny = 60 * time.Second
+	// holdAfterAny how long any head, is passed by before workers are held for it. One
+	// second is short against the time that a worker takes to empty.
+	holdAfter    = time.Second
+	holdAfterAny = 30 * time.Second
 	// A hold lasts as long again as it is expected to take, within these bounds. The
 	// next hold of the same item lasts twice as long, up to the bound, so that work
 	// whose peers outlast their declared run time starts in the end.
 	holdMin = 10 * time.Second
 	holdMax = 10 * time.Minute
 	// holdInterval bounds how often a pool looks for an item to hold workers for.
-	holdInterval = time.Second
+	holdInterval = 100 * time.Millisecond
 	// holdWorkers bounds the workers that are considered for a hold, unless the item
 	// has more tasks.
-	holdWorkers = 1024
+	holdWorkers = 512
+	// holdFraction bounds the workers held at once to one in this many, unless a single
+	// item needs more.
+	holdFraction = 4
+	// backfillHolds bounds the holds that are tried for one backfill.
+	backfillHolds = 16
 )
 
 // hold keeps workers from other work until a large item, such as a gang, fits on them.
 // The account of the workers is untouched: nothing is reserved for the item, and other
 // work that is expected to end before the item can start still runs there (backfill).
-// A pool has at most one hold.
 type hold struct {
 	entry   *entry
 	workers []*worker
@@ -46,18 +51,19 @@
 	return list
 }
 
-// renewHold ends a hold that has lasted too long or whose item has left the queue, and
-// starts the next.
-func (p *pool) renewHold(now time.Duration) {
-	if h := p.hold; h != nil {
+// renewHolds ends the holds that have lasted too long or whose item has left the queue,
+// and starts at most one new hold, which bounds the cost of a decision.
+func (p *pool) renewHolds(now time.Duration) {
+	for i := len(p.holds) - 1; i >= 0; i-- {
+		h := p.holds[i]
 		if h.entry.lane != nil && now < h.until {
-			return
+			continue
 		}
 		// Other items get their turn before this one is held for again.
 		h.entry.holdRetryAt = now + holdMin
-		p.clearHold()
+		p.clearHold(h)
 	}
-	if now < p.holdNext {
+	if now < p.holdNext || p.held >= max(1, len(p.workers)/holdFraction) {
 		return
 	}
 	p.holdNext = now + holdInterval
@@ -66,12 +72,12 @@
 	}
 }
 
-func (p *pool) clearHold() {
-	h := p.hold
-	if h == nil {
-		return
-	}
-	p.hold = nil
+// clearHold offers the workers of h to all work again.
+func (p *pool) clearHold(h *hold) {
+	i := slices.Index(p.holds, h)
+	p.holds = slices.Delete(p.holds, i, i+1)
+	p.held -= len(h.workers)
+	h.entry.hold = nil
 	for _, w := range h.workers {
 		w.hold = nil
 		w.refreshFreed()
@@ -103,11 +109,11 @@
 // mayHold reports whether e has been passed by for long enough. Work of a team above
 // its share waits longer, as it is not its turn.
 func (e *entry) mayHold(now time.Duration) bool {
-	if !e.lane.blocked || e.blockedSince < 0 || now < e.holdRetryAt {
+	if !e.lane.blocked || e.hold != nil || e.blockedSince < 0 || now < e.holdRetryAt {
 		return false
 	}
 	t := e.lane.class.team
-	if t.exceedsQuota(e.demand.times(int64(e.item.Tasks))) >= 0 {
+	if t.exceedsQuota(e.total()) >= 0 {
 		return false
 	}
 	passedBy := now - e.blockedSince
@@ -123,9 +129,11 @@
 	}
 	length := max(2*(startAt-now), 2*e.holdLength, holdMin)
 	e.holdLength = min(length, holdMax)
-	p.hold = &hold{entry: e, workers: workers, startAt: startAt, until: now + e.holdLength}
+	e.hold = &hold{entry: e, workers: workers, startAt: startAt, until: now + e.holdLength}
+	p.holds = append(p.holds, e.hold)
+	p.held += len(workers)
 	for _, w := range workers {
-		w.hold = p.hold
+		w.hold = e.hold
 		w.refresh()
 	}
 	e.lane.unblock()
@@ -148,7 +156,7 @@
 	offset := p.s.random.IntN(len(p.workers) + 1)
 	for i := range limit {
 		w := p.workers[(offset+i)%len(p.workers)]
-		if w.isOpen() && !w.headroom && !w.health.onProbation {
+		if w.isOpen() && !w.headroom && w.hold == nil && !w.health.onProbation {
 			gains = appendGains(gains, now, w, i, e)
 		}
 	}
@@ -210,15 +218,20 @@
 // backfill returns a held worker for e if e is the held item or is expected to end
 // before it can start; nil if there is none.
 func (p *pool) backfill(now time.Duration, e *entry) *worker {
-	h := p.hold
-	if h == nil {
+	if e.hold != nil {
+		return p.firstWithRoom(e.hold.workers, e)
+	}
+	if len(p.holds) == 0 {
 		return nil
 	}
-	if h.entry != e {
-		end := p.kinds.expectedEnd(now, e.item)
-		if end > h.startAt {
-			return nil
+	end := p.kinds.expectedEnd(now, e.item)
+	start := p.s.random.IntN(len(p.holds))
+	for i := range min(len(p.holds), backfillHolds) {
+		if h := p.holds[(start+i)%len(p.holds)]; end <= h.startAt {
+			if w := p.firstWithRoom(h.workers, e); w != nil {
+				return w
+			}
 		}
 	}
-	return p.firstWithRoom(h.workers, e)
+	return nil
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -22,6 +22,7 @@
 
 	capacity vector // of all workers present
 	reserved vector
+	waiting  vector // demand of all queued items
 
 	teams        map[string]*team
 	active       []*team // with queued or running work
@@ -31,7 +32,8 @@
 	quotas       map[string]api.Resources
 
 	kinds    kindTable
-	hold     *hold
+	holds    []*hold
+	held     int           // workers of all holds
 	holdNext time.Duration // no new hold before
 	headroom []*worker
 	trials   []*worker // on probation
@@ -107,7 +109,9 @@
 
 // leave takes w out of the pool. Its reservations stay in its account.
 func (p *pool) leave(w *worker) {
-	p.clearHold()
+	if w.hold != nil {
+		p.clearHold(w.hold)
+	}
 	w.headroom = false
 	p.headroom = without(p.headroom, w)
 	p.trials = without(p.trials, w)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -33,10 +33,14 @@
 
 	work         float64       // at arrival; see pool.work
 	blockedSince time.Duration // first failed try as head of its lane; -1 before
+	hold         *hold
 	holdRetryAt  time.Duration // no hold before
 	holdLength   time.Duration // of the last hold
 }
 
+// total is the demand of all tasks.
+func (e *entry) total() vector { return e.demand.times(int64(e.item.Tasks)) }
+
 // lane is a list of entries in order of arrival. Any entry is unlinked in constant time.
 type lane struct {
 	key     laneKey
@@ -76,6 +80,7 @@
 	}
 	e.work = q.team.pool.work(e.item, e.demand)
 	q.queuedWork += e.work
+	q.team.pool.waiting.add(e.total())
 	k := keyOf(e.item, e.demand)
 	l := q.lane(k)
 	if l == nil && len(q.lanes) >= maxLanes {
@@ -122,6 +127,7 @@
 	e.previous, e.next = nil, nil
 	l.class.queued--
 	l.class.queuedWork -= e.work
+	l.class.team.pool.waiting.sub(e.total())
 	if l.head == nil {
 		l.class.removeLane(l)
 	}
--- a/placement/score.go
+++ b/placement/score.go
@@ -19,6 +19,9 @@
 	// and crowdPenalty keeps work off workers that it is likely to outgrow.
 	acceleratorPenalty = 2.0
 	crowdPenalty       = 1.0
+	// failingPenalty keeps work off a worker whose latest tasks failed while others have
+	// room, before it is known whether the worker is to blame.
+	failingPenalty = 4.0
 	// strandPenalty weighs how uneven the fractions left in the dimensions are.
 	strandPenalty = 0.5
 )
@@ -108,7 +111,7 @@
 	if !sc.likely.fits(&free) {
 		score += crowdPenalty
 	}
-	return score
+	return score + failingPenalty*w.health.failing
 }
 
 // tightness is the fraction left after the placement, weighted toward the scarcest
