--- /dev/null
+++ b/control/checknear.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/agnivade/levenshtein"
+)
+
+// checkNearDuplicates warns of names that people confuse. An alias is compared with the
+// names and aliases of other routes only, because it is meant to be near its own route.
+func (c *checker) checkNearDuplicates() {
+	var kinds, pools []owned
+	for _, r := range c.new.Routes {
+		kinds = append(kinds, owned{r.Name, r.Name})
+		for _, a := range r.Aliases {
+			kinds = append(kinds, owned{a, r.Name})
+		}
+	}
+	for _, p := range c.new.Pools {
+		pools = append(pools, owned{p.Name, p.Name})
+	}
+	c.warnNear(ProblemNearDuplicateKind, "kinds", kinds)
+	c.warnNear(ProblemNearDuplicatePool, "pools", pools)
+}
+
+func (c *checker) warnNear(kind, what string, names []owned) {
+	for _, pair := range nearPairs(names) {
+		a, b := pair[0].name, pair[1].name
+		c.warn(kind, b, a, fmt.Sprintf("%s %q and %q differ only by %s", what, a, b, difference(a, b)),
+			fmt.Sprintf("rename one of them, or keep one and write \"aliases: [%s]\" in the other if callers use both", b))
+	}
+}
+
+// owned is a name with the entry that it belongs to.
+type owned struct{ name, owner string }
+
+// maxBucket bounds how many names are compared with each other because they share one
+// deletion. More occur only in tables made to be slow to check.
+const maxBucket = 100
+
+// nearPairs returns the pairs of names of different owners with equal skeletons or
+// skeletons that differ by one letter, each pair and the list sorted. Names that share
+// a skeleton with one letter deleted are the only candidates, so the work grows with
+// the number of names and not with its square.
+func nearPairs(names []owned) [][2]owned {
+	names = slices.Clone(names)
+	slices.SortFunc(names, compareOwned)
+	buckets := make(map[string][]int)
+	for i, n := range names {
+		for _, key := range deletions(skeleton(n.name)) {
+			buckets[key] = append(buckets[key], i)
+		}
+	}
+	seen := make(map[[2]int]bool)
+	var out [][2]owned
+	for _, bucket := range buckets {
+		bucket = bucket[:min(len(bucket), maxBucket)]
+		for i, a := range bucket {
+			for _, b := range bucket[i+1:] {
+				pair := [2]int{min(a, b), max(a, b)}
+				if a == b || seen[pair] {
+					continue
+				}
+				seen[pair] = true
+				if isNear(names[pair[0]], names[pair[1]]) {
+					out = append(out, [2]owned{names[pair[0]], names[pair[1]]})
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b [2]owned) int {
+		return cmp.Or(compareOwned(a[0], b[0]), compareOwned(a[1], b[1]))
+	})
+	return out
+}
+
+func compareOwned(a, b owned) int {
+	return cmp.Or(strings.Compare(a.name, b.name), strings.Compare(a.owner, b.owner))
+}
+
+// deletions returns s and every string that s becomes when one character is deleted.
+func deletions(s string) []string {
+	runes := []rune(s)
+	out := []string{s}
+	for i := range runes {
+		if i > 0 && runes[i] == runes[i-1] {
+			continue // the same string again
+		}
+		out = append(out, string(runes[:i])+string(runes[i+1:]))
+	}
+	return out
+}
+
+// isNear reports whether two names that share a deletion are a near-duplicate. Numbered
+// and lettered series, such as plan-1 and plan-2 or rack-a and rack-b, are not.
+func isNear(a, b owned) bool {
+	if a.owner == b.owner || a.name == b.name {
+		return false
+	}
+	if !isOneEdit(skeleton(a.name), skeleton(b.name)) {
+		return false
+	}
+	x, y := middle(a.name, b.name)
+	return !isSeries(x, y) && !isLetterSeries(a.name, b.name, x, y)
+}
+
+// isOneEdit reports whether a and b are equal or differ by one letter or by two
+// neighboring letters in exchanged order.
+func isOneEdit(a, b string) bool {
+	if levenshtein.ComputeDistance(a, b) <= 1 {
+		return true
+	}
+	x, y := middle(a, b)
+	return len(x) == 2 && len(y) == 2 && x[0] == y[1] && x[1] == y[0]
+}
+
+// middle strips the common beginning and end of a and b.
+func middle(a, b string) ([]rune, []rune) {
+	x, y := []rune(a), []rune(b)
+	for len(x) > 0 && len(y) > 0 && x[0] == y[0] {
+		x, y = x[1:], y[1:]
+	}
+	for len(x) > 0 && len(y) > 0 && x[len(x)-1] == y[len(y)-1] {
+		x, y = x[:len(x)-1], y[:len(y)-1]
+	}
+	return x, y
+}
+
+func isSeries(x, y []rune) bool {
+	return len(x)+len(y) > 0 && allDigits(x) && allDigits(y)
+}
+
+func allDigits(s []rune) bool {
+	return !slices.ContainsFunc(s, func(r rune) bool { return !unicode.IsDigit(r) })
+}
+
+// isLetterSeries reports whether a and b differ in one letter that stands alone between
+// separators and does not look like the other.
+func isLetterSeries(a, b string, x, y []rune) bool {
+	if len(x) != 1 || len(y) != 1 || skeleton(string(x)) == skeleton(string(y)) {
+		return false
+	}
+	parts := func(s string) []string { return strings.FieldsFunc(s, isSeparator) }
+	for i, p := range parts(a) {
+		if q := parts(b); i < len(q) && p != q[i] {
+			return p == string(x) && q[i] == string(y)
+		}
+	}
+	return false
+}
+
+// difference names what distinguishes a near pair.
+func difference(a, b string) string {
+	switch {
+	case strings.EqualFold(a, b):
+		return "upper and lower case"
+	case withoutSeparators(strings.ToLower(a)) == withoutSeparators(strings.ToLower(b)):
+		return "hyphen, underscore or dot"
+	case skeleton(a) == skeleton(b):
+		return "letters that look alike"
+	default:
+		return "one letter or the order of two"
+	}
+}
+
+func withoutSeparators(s string) string {
+	return strings.Map(func(r rune) rune {
+		if isSeparator(r) {
+			return -1
+		}
+		return r
+	}, s)
+}
