control: tests of checks, table file and problem log; faster check

Cause: a check of 1,000 numbered routes took 81 ms, longer than a heartbeat interval of 50 ms, and each unknown kind cost a search of 0.2 ms. Change: compare members of numbered series before computing edit distances, rule names out by their letters, remember nearest names in the resolver.

--- a/control/checknear.go
+++ b/control/checknear.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"unicode"
+	"unicode/utf8"
 
 	"github.com/agnivade/levenshtein"
 )
@@ -49,32 +50,30 @@
 func nearPairs(names []owned) [][2]owned {
 	names = slices.Clone(names)
 	slices.SortFunc(names, compareOwned)
+	skeletons := make([]string, len(names))
 	buckets := make(map[string][]int)
 	for i, n := range names {
-		for _, key := range deletions(skeleton(n.name)) {
+		skeletons[i] = skeleton(n.name)
+		for _, key := range deletions(skeletons[i]) {
 			buckets[key] = append(buckets[key], i)
 		}
 	}
-	seen := make(map[[2]int]bool)
-	var out [][2]owned
+	var found [][2]int
 	for _, bucket := range buckets {
 		bucket = bucket[:min(len(bucket), maxBucket)]
 		for i, a := range bucket {
 			for _, b := range bucket[i+1:] {
-				pair := [2]int{min(a, b), max(a, b)}
-				if a == b || seen[pair] {
-					continue
-				}
-				seen[pair] = true
-				if isNear(names[pair[0]], names[pair[1]]) {
-					out = append(out, [2]owned{names[pair[0]], names[pair[1]]})
+				if isNear(names[a], names[b], skeletons[a], skeletons[b]) {
+					found = append(found, [2]int{a, b})
 				}
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b [2]owned) int {
-		return cmp.Or(compareOwned(a[0], b[0]), compareOwned(a[1], b[1]))
-	})
+	slices.SortFunc(found, func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
+	var out [][2]owned
+	for _, f := range slices.Compact(found) {
+		out = append(out, [2]owned{names[f[0]], names[f[1]]})
+	}
 	return out
 }
 
@@ -96,16 +95,14 @@
 }
 
 // isNear reports whether two names that share a deletion are a near-duplicate. Numbered
-// and lettered series, such as plan-1 and plan-2 or rack-a and rack-b, are not.
-func isNear(a, b owned) bool {
+// and lettered series, such as plan-1 and plan-2 or rack-a and rack-b, are not. The
+// cheap comparisons come first, because most candidates are members of series.
+func isNear(a, b owned, skeletonA, skeletonB string) bool {
 	if a.owner == b.owner || a.name == b.name {
 		return false
 	}
-	if !isOneEdit(skeleton(a.name), skeleton(b.name)) {
-		return false
-	}
 	x, y := middle(a.name, b.name)
-	return !isSeries(x, y) && !isLetterSeries(a.name, b.name, x, y)
+	return !isSeries(x, y) && isOneEdit(skeletonA, skeletonB) && !isLetterSeries(a.name, b.name, x, y)
 }
 
 // isOneEdit reports whether a and b are equal or differ by one letter or by two
@@ -115,39 +112,44 @@
 		return true
 	}
 	x, y := middle(a, b)
-	return len(x) == 2 && len(y) == 2 && x[0] == y[1] && x[1] == y[0]
+	first, size := utf8.DecodeRuneInString(x)
+	return utf8.RuneCountInString(x) == 2 && y == x[size:]+string(first)
 }
 
 // middle strips the common beginning and end of a and b.
-func middle(a, b string) ([]rune, []rune) {
-	x, y := []rune(a), []rune(b)
-	for len(x) > 0 && len(y) > 0 && x[0] == y[0] {
-		x, y = x[1:], y[1:]
+func middle(a, b string) (string, string) {
+	for a != "" && b != "" {
+		r, n := utf8.DecodeRuneInString(a)
+		if q, _ := utf8.DecodeRuneInString(b); q != r {
+			break
+		}
+		a, b = a[n:], b[n:]
 	}
-	for len(x) > 0 && len(y) > 0 && x[len(x)-1] == y[len(y)-1] {
-		x, y = x[:len(x)-1], y[:len(y)-1]
+	for a != "" && b != "" {
+		r, n := utf8.DecodeLastRuneInString(a)
+		if q, _ := utf8.DecodeLastRuneInString(b); q != r {
+			break
+		}
+		a, b = a[:len(a)-n], b[:len(b)-n]
 	}
-	return x, y
-}
-
-func isSeries(x, y []rune) bool {
-	return len(x)+len(y) > 0 && allDigits(x) && allDigits(y)
+	return a, b
 }
 
-func allDigits(s []rune) bool {
-	return !slices.ContainsFunc(s, func(r rune) bool { return !unicode.IsDigit(r) })
+func isSeries(x, y string) bool {
+	notDigit := func(r rune) bool { return !unicode.IsDigit(r) }
+	return x+y != "" && !strings.ContainsFunc(x, notDigit) && !strings.ContainsFunc(y, notDigit)
 }
 
 // isLetterSeries reports whether a and b differ in one letter that stands alone between
 // separators and does not look like the other.
-func isLetterSeries(a, b string, x, y []rune) bool {
-	if len(x) != 1 || len(y) != 1 || skeleton(string(x)) == skeleton(string(y)) {
+func isLetterSeries(a, b, x, y string) bool {
+	if utf8.RuneCountInString(x) != 1 || utf8.RuneCountInString(y) != 1 || skeleton(x) == skeleton(y) {
 		return false
 	}
-	parts := func(s string) []string { return strings.FieldsFunc(s, isSeparator) }
-	for i, p := range parts(a) {
-		if q := parts(b); i < len(q) && p != q[i] {
-			return p == string(x) && q[i] == string(y)
+	partsA, partsB := strings.FieldsFunc(a, isSeparator), strings.FieldsFunc(b, isSeparator)
+	for i, p := range partsA {
+		if i < len(partsB) && p != partsB[i] {
+			return p == x && partsB[i] == y
 		}
 	}
 	return false
--- a/control/fileentries.go
+++ b/control/fileentries.go
@@ -29,9 +29,11 @@
 		{"name", func(n *yaml.Node) { pool.Name = p.name(n, "name") }},
 		{"home", func(n *yaml.Node) { pool.Home = p.name(n, "home") }},
 		{"shares", func(n *yaml.Node) {
-			pool.Shares = parseTeams(p, n, "shares", func(n *yaml.Node) int64 { return p.integer(n, "the share", 1) })
+			pool.Shares = parseTeams(p, n, "shares", func(team string, n *yaml.Node) int64 { return p.integer(n, team, 1) })
+		}},
+		{"quotas", func(n *yaml.Node) {
+			pool.Quotas = parseTeams(p, n, "quotas", func(_ string, n *yaml.Node) api.Resources { return p.resources(n) })
 		}},
-		{"quotas", func(n *yaml.Node) { pool.Quotas = parseTeams(p, n, "quotas", p.resources) }},
 	})
 	p.require(n, "the pool", "name", "home")
 	return pool
@@ -48,7 +50,7 @@
 }
 
 // parseTeams reads a mapping from team to value.
-func parseTeams[V any](p *fileParser, n *yaml.Node, where string, parse func(*yaml.Node) V) map[string]V {
+func parseTeams[V any](p *fileParser, n *yaml.Node, where string, parse func(team string, value *yaml.Node) V) map[string]V {
 	if !p.isKind(n, yaml.MappingNode, where, "one line for each team, \"TEAM: VALUE\"") {
 		return nil
 	}
@@ -56,7 +58,8 @@
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key, value := n.Content[i], n.Content[i+1]
 		if !p.isRepeated(seen, key, where) {
-			out[p.name(key, "team")] = parse(value)
+			team := p.name(key, "team")
+			out[team] = parse(team, value)
 		}
 	}
 	return out
--- a/control/names.go
+++ b/control/names.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math/bits"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -41,6 +42,7 @@
 	names     []string
 	skeletons []string
 	lengths   []int // of the skeletons, in characters
+	letters   []uint64
 }
 
 func newNameIndex(names []string) *nameIndex {
@@ -49,10 +51,22 @@
 		sk := skeleton(n)
 		x.skeletons = append(x.skeletons, sk)
 		x.lengths = append(x.lengths, utf8.RuneCountInString(sk))
+		x.letters = append(x.letters, letterSet(sk))
 	}
 	return x
 }
 
+// letterSet returns a bit for each letter of s; some letters share a bit. Each letter
+// that only one of two names has costs at least one edit, which rules most names out
+// without computing the distance.
+func letterSet(s string) uint64 {
+	var set uint64
+	for _, r := range s {
+		set |= 1 << (uint32(r) % 64)
+	}
+	return set
+}
+
 // Nearest returns the candidate that name is probably meant to be, or "" if none is
 // near. Equal distances are decided by the order of the candidates.
 func Nearest(name string, candidates []string) string { return newNameIndex(candidates).nearest(name) }
@@ -67,12 +81,15 @@
 		return ""
 	}
 	sk := skeleton(name)
-	length := utf8.RuneCountInString(sk)
+	length, letters := utf8.RuneCountInString(sk), letterSet(sk)
 	best, bestDistance := -1, maxEdits(length)+1
 	for i := range x.names {
 		if d := x.lengths[i] - length; d >= bestDistance || -d >= bestDistance {
 			continue
 		}
+		if max(bits.OnesCount64(letters&^x.letters[i]), bits.OnesCount64(x.letters[i]&^letters)) >= bestDistance {
+			continue
+		}
 		if d := levenshtein.ComputeDistance(sk, x.skeletons[i]); d < bestDistance {
 			best, bestDistance = i, d
 		}
--- /dev/null
+++ b/control/problemlog_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+func logResolver(t api.Tables) *Resolver { return NewResolver(NormalizeTables(t)) }
+
+// Guards against an unknown kind that is not grouped, counted, explained or removed.
+func TestProblemLogUnknownKind(t *testing.T) {
+	c, l, r := qt.New(t), NewProblemLog(0), logResolver(oneRoute("plan", "timing", "east"))
+	for i := range 30 {
+		l.UnknownKind(int64(1000+i), "plam", fmt.Sprintf("caller-%02d", i%15), r)
+	}
+	l.UnknownKind(5000, "recalibrate", "x", r)
+	got := l.List()
+	c.Assert(got, qt.HasLen, 2)
+	c.Assert([]any{got[0].Subject, got[0].Nearest}, qt.DeepEquals, []any{"recalibrate", ""})
+	c.Assert([]any{got[1].Subject, got[1].Nearest, got[1].Count, got[1].FirstSeenUnixMillis}, qt.DeepEquals, []any{"plam", "plan", int64(30), int64(1000)})
+	c.Assert(got[1].Callers, qt.HasLen, maxProblemCallers)
+	c.Assert(got[1].Remedy, qt.Contains, `send kind "plan", or write "aliases: [plam]" in route "plan"`)
+
+	fixed := oneRoute("plan", "timing", "east")
+	fixed.Routes[0].Aliases = []string{"plam"}
+	l.Refresh(6000, logResolver(fixed))
+	c.Assert(l.List(), qt.HasLen, 1)
+	l.Refresh(5000+kindIdle.Milliseconds()+1, logResolver(fixed))
+	c.Assert(l.List(), qt.HasLen, 0)
+}
+
+// Guards against a worker's misspelled pool that is not reported, and against a report
+// that stays after the pool was added, the worker moved or the worker left.
+func TestProblemLogUnknownPool(t *testing.T) {
+	c, r := qt.New(t), logResolver(oneRoute("plan", "timing", "east"))
+	seen := func() *ProblemLog {
+		l := NewProblemLog(0)
+		l.UnknownPool(1000, "w2", "timng", r)
+		l.UnknownPool(1000, "w1", "timng", r)
+		return l
+	}
+	l := seen()
+	got := l.List()
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got[0].Message, qt.Equals, `2 workers, such as "w1", announce pool "timng", which does not exist, so they get no work`)
+	c.Assert(got[0].Remedy, qt.Contains, `start them with "--pool timing"`)
+	l.WorkerMoved("w1", r)
+	c.Assert(l.List()[0].Message, qt.Contains, `worker "w2" announces`)
+	l.WorkerMoved("w2", r)
+	c.Assert(l.List(), qt.HasLen, 0)
+
+	l = seen()
+	l.Refresh(1000, logResolver(oneRoute("plan", "timng", "east")))
+	c.Assert(l.List(), qt.HasLen, 0)
+	l = seen()
+	l.Refresh(1000+poolIdle.Milliseconds(), r)
+	c.Assert(l.List(), qt.HasLen, 1)
+	l.Refresh(1001+poolIdle.Milliseconds(), r)
+	c.Assert(l.List(), qt.HasLen, 0)
+}
+
+// Guards against memory that grows with the number of misspellings, and against random
+// names that push out the misspelling that many callers send.
+func TestProblemLogIsBounded(t *testing.T) {
+	c, l, r := qt.New(t), NewProblemLog(20), logResolver(api.Tables{})
+	l.UnknownKind(1, "plam", "x", r)
+	l.UnknownKind(2, "plam", "x", r)
+	for i := range 1000 {
+		l.UnknownKind(int64(10+i), fmt.Sprintf("random-%d", i), "y", r)
+		l.UnknownPool(int64(10+i), "w", fmt.Sprintf("random-%d", i), r)
+	}
+	got := l.List()
+	c.Assert(got, qt.HasLen, 40)
+	c.Assert(got[39].Subject, qt.Equals, "plam")
+}
+
+// Guards against a table problem that stays after a change, or that looks new each time.
+func TestProblemLogTables(t *testing.T) {
+	c, l := qt.New(t), NewProblemLog(0)
+	a := warningProblem(ProblemPoolWithoutWorker, "timing", "", "m", "r")
+	b := warningProblem(ProblemPoolWithoutWorker, "draft", "", "m", "r")
+	l.SetTables(10, []api.Problem{a})
+	l.SetTables(20, []api.Problem{a, b})
+	got := l.List()
+	c.Assert([]any{got[0].Subject, got[0].FirstSeenUnixMillis, got[1].Subject, got[1].FirstSeenUnixMillis, got[1].Count}, qt.DeepEquals,
+		[]any{"draft", int64(20), "timing", int64(10), int64(2)})
+	l.SetTables(30, nil)
+	c.Assert(l.List(), qt.HasLen, 0)
+}
+
+// Guards against a problem that is listed once for each VM.
+func TestMergeProblems(t *testing.T) {
+	r := logResolver(oneRoute("plan", "timing", "east"))
+	x, y := NewProblemLog(0), NewProblemLog(0)
+	x.UnknownKind(20, "plam", "a", r)
+	y.UnknownKind(10, "plam", "b", r)
+	y.UnknownKind(30, "plam", "b", r)
+	got := MergeProblems(x.List(), y.List())
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Assert(t, []any{got[0].Count, got[0].FirstSeenUnixMillis}, qt.DeepEquals, []any{int64(3), int64(10)})
+	qt.Assert(t, got[0].Callers, qt.DeepEquals, []string{"a", "b"})
+}
--- a/control/resolve.go
+++ b/control/resolve.go
@@ -7,8 +7,8 @@
 	"github.com/oleanderchute/oleanderchute/api"
 )
 
-// Resolver answers which route and pool serve a kind. It is immutable and safe for
-// concurrent use. The routes and pools it returns are shared and must not be changed.
+// Resolver answers which route and pool serve a kind. Its answers never change, and it
+// is safe for concurrent use. The routes and pools it returns are shared and must not be changed.
 type Resolver struct {
 	tables api.Tables
 	routes map[string]int // by name
@@ -16,6 +16,7 @@
 	pools  map[string]int // by name
 	kinds  *nameIndex     // names and aliases
 	pool   *nameIndex
+	near   nearCache
 }
 
 // NewResolver returns a resolver for tables that nobody changes afterwards.
@@ -74,7 +75,7 @@
 
 // NearestRoute returns the name of the route that kind is probably meant for, or "".
 func (r *Resolver) NearestRoute(kind string) string {
-	near := r.kinds.nearest(kind)
+	near := r.near.get(kind, r.kinds.nearest)
 	if i, ok := r.alias[near]; ok {
 		return r.tables.Routes[i].Name
 	}
