--- /dev/null
+++ b/partition/ends.go
@@ -0,0 +1,113 @@
+package partition
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/placement"
+)
+
+// digestOf returns the SHA-256 of an answer.
+func digestOf(answer []byte) []byte {
+	sum := sha256.Sum256(answer)
+	return sum[:]
+}
+
+// wholeAnswer reports whether length and digest of the answer are right. An end without
+// any answer may leave the digest empty.
+func wholeAnswer(e *api.TaskEnd) bool {
+	if len(e.Answer) != e.AnswerLength {
+		return false
+	}
+	if e.AnswerDigest == "" {
+		return e.AnswerLength == 0
+	}
+	return strings.EqualFold(e.AnswerDigest, hex.EncodeToString(digestOf(e.Answer)))
+}
+
+// ended takes a worker's report of an end. It is acknowledged once its record is
+// committed, or at once if there is nothing to record.
+func (o *owner) ended(now time.Duration, w *workerState, e *api.TaskEnd) {
+	if !wholeAnswer(e) {
+		o.badAnswers++ // not received; the worker repeats it
+		return
+	}
+	rec, a := o.p.records[e.Task.RequestKey], o.attempts[e.Task]
+	if a == nil && o.adoptable(rec, e) {
+		a = o.adopt(now, w, e.Task)
+	}
+	if rec == nil || a == nil || a.worker != w || rec.State.IsFinal() {
+		o.acknowledge(w, e.Task)
+		if a != nil && a.worker == w && !a.ending {
+			o.dropAttempt(now, a)
+			o.settleLive(now, a.live)
+		}
+		return
+	}
+	if a.ending || a.state == attemptClaiming {
+		return
+	}
+	o.takeEnd(now, w, a, e)
+}
+
+// adoptable reports whether an end may belong to an attempt without a recorded claim. A
+// refusal tells nothing about other attempts, so it is not needed.
+func (o *owner) adoptable(rec *record, e *api.TaskEnd) bool {
+	return rec != nil && !rec.State.IsOutcome() && e.Kind != api.EndRefused
+}
+
+// takeEnd proposes the record of an end.
+func (o *owner) takeEnd(now time.Duration, w *workerState, a *attempt, e *api.TaskEnd) {
+	end, reason := endOf(a, w, e)
+	if end == attemptLost && a.state == attemptGone {
+		o.acknowledge(w, e.Task)
+		return
+	}
+	o.reportOutcome(now, a, end, e)
+	a.reported = true
+	w.pendingEnds++
+	report := *e
+	report.Reason = reason
+	if len(report.Answer) > api.MaxBodyBytes {
+		end, report.Answer = attemptFailed, nil
+		report.Reason = "the answer is over 1 MiB"
+	}
+	o.proposeResult(now, a, &report, end)
+}
+
+// endOf returns what an end is recorded as. A refusal is evidence only from the
+// incarnation that was addressed, and not after that incarnation confirmed the start.
+func endOf(a *attempt, w *workerState, e *api.TaskEnd) (attemptEnd, string) {
+	switch e.Kind {
+	case api.EndDone:
+		return attemptDone, ""
+	case api.EndFailed:
+		return attemptFailed, e.Reason
+	case api.EndStopped:
+		return attemptStopped, "stopped after it had started: " + e.Reason
+	case api.EndRefused:
+		if a.incarnation == w.incarnation && !a.confirmed {
+			return attemptRefused, "refused by the worker: " + e.Reason
+		}
+	}
+	return attemptLost, "its worker cannot tell whether it ran"
+}
+
+// reportOutcome tells the scheduler how a task ended. A task that was stopped on request
+// says nothing about its worker.
+func (o *owner) reportOutcome(now time.Duration, a *attempt, end attemptEnd, e *api.TaskEnd) {
+	outcome := placement.OutcomeLost
+	switch {
+	case end == attemptDone:
+		outcome = placement.OutcomeSuccess
+	case end == attemptFailed || end == attemptRefused:
+		outcome = placement.OutcomeFailure
+	case a.halting:
+		return
+	}
+	runTime := time.Duration(max(e.RunMillis, 0)) * time.Millisecond
+	o.sched.ReportOutcome(now, a.worker.name, a.live.rec.Spec.Kind, outcome, runTime)
+}
--- /dev/null
+++ b/partition/submit.go
@@ -0,0 +1,161 @@
+package partition
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/placement"
+)
+
+// submit accepts a request or joins the one with the same key.
+func (o *owner) submit(now time.Duration, e *Submit) {
+	if err := checkSubmit(e); err != nil {
+		o.reply(e.Waiter, nil, err)
+		return
+	}
+	key := api.RequestKey{Caller: e.Request.Caller, Key: e.Request.Key}
+	digest := requestDigest(e.Route.Name, e.Request.Body)
+	if l := o.live[key]; l != nil && l.phase != phaseOutcome {
+		if !bytes.Equal(l.digest, digest) {
+			o.reply(e.Waiter, nil, keyReused(key))
+			return
+		}
+		o.join(now, l, e.Waiter, e.WaitUntil)
+		return
+	}
+	if r := o.p.records[key]; r != nil {
+		if !bytes.Equal(r.Spec.Digest, digest) {
+			o.reply(e.Waiter, nil, keyReused(key))
+			return
+		}
+		o.reply(e.Waiter, o.status(r), nil)
+		return
+	}
+	o.admit(now, e, key, digest)
+}
+
+// keyReused refuses a key that stands for another request; this one has not run.
+func keyReused(key api.RequestKey) *api.Error {
+	err := api.Errorf(api.CodeKeyReused, "key %q already stands for a request with another kind or body", key.Key)
+	err.Field, err.NotRun = "key", true
+	return err
+}
+
+// admit checks a new request and proposes its accept.
+func (o *owner) admit(now time.Duration, e *Submit, key api.RequestKey, digest []byte) {
+	if len(o.waiters) >= maxWaiters {
+		err := api.Errorf(api.CodeOverloaded, "%d calls are waiting", len(o.waiters))
+		err.NotRun, err.RetryAfterMillis = true, api.Millis(time.Second)
+		o.reply(e.Waiter, nil, err)
+		return
+	}
+	s := newSpec(e, key, digest)
+	item := specItem(&s)
+	item.Accepted = now
+	if s.DeadlineMillis > 0 {
+		item.Deadline = now + time.Duration(s.DeadlineMillis)*time.Millisecond
+	}
+	if a := o.sched.Admit(now, item); a.Verdict != placement.Admitted {
+		o.reply(e.Waiter, nil, admissionError(a))
+		return
+	}
+	l := &liveRequest{key: key, phase: phaseAccepting, digest: digest}
+	o.live[key] = l
+	o.propose(command{Accept: &acceptCommand{Spec: s, Body: e.Request.Body}})
+	o.join(now, l, e.Waiter, e.WaitUntil)
+}
+
+// newSpec fixes what is accepted.
+func newSpec(e *Submit, key api.RequestKey, digest []byte) spec {
+	q := &e.Request
+	s := spec{
+		Key: key, Kind: e.Route.Name, Pool: e.Route.Pool, Team: q.Team, Class: q.Class,
+		Workload: e.Route.Workload, Resources: q.Resources, RunTimeMillis: q.RunTimeMillis,
+		DeadlineMillis: q.DeadlineMillis, NonIdempotent: q.NonIdempotent, Region: e.Region,
+		AcceptedUnixMillis: e.NowUnixMillis, Digest: digest,
+	}
+	if s.Team == "" {
+		s.Team = q.Caller
+	}
+	if s.Class == "" {
+		s.Class = api.ClassNormal
+	}
+	return s
+}
+
+// admissionError turns a refusal at admission into an error. Nothing was recorded.
+func admissionError(a placement.Admission) *api.Error {
+	code := api.CodeNeverFits
+	if a.Verdict == placement.Overloaded {
+		code = api.CodeOverloaded
+	}
+	err := &api.Error{Code: code, Message: a.Reason, NotRun: true}
+	if code == api.CodeOverloaded {
+		err.RetryAfterMillis = max(api.Millis(a.RetryAfter), 1)
+	}
+	return err
+}
+
+// accepted continues with a request whose accept is committed.
+func (o *owner) accepted(now time.Duration, c *acceptCommand) {
+	l := o.live[c.Spec.Key]
+	if l == nil || l.phase != phaseAccepting {
+		return
+	}
+	l.rec = o.p.records[l.key]
+	l.accepted = now
+	if c.Spec.DeadlineMillis > 0 {
+		l.deadline = now + time.Duration(c.Spec.DeadlineMillis)*time.Millisecond
+	}
+	o.resume(now, l)
+	o.answerDue(now, l)
+}
+
+// checkSubmit refuses malformed requests.
+func checkSubmit(e *Submit) *api.Error {
+	q := &e.Request
+	switch {
+	case q.Caller == "" || len(q.Caller) > maxNameBytes:
+		return badField("caller", "must have 1 to %d bytes", maxNameBytes)
+	case q.Key == "" || len(q.Key) > maxNameBytes:
+		return badField("key", "must have 1 to %d bytes", maxNameBytes)
+	case len(q.Team) > maxNameBytes:
+		return badField("team", "must have at most %d bytes", maxNameBytes)
+	case q.Tasks < 0 || q.Tasks > 1:
+		return badField("tasks", "requests with %d tasks are not supported", q.Tasks)
+	case !validClass(q.Class):
+		return badField("class", "unknown class %q", q.Class)
+	case q.RunTimeMillis < 0 || q.RunTimeMillis > maxMillis:
+		return badField("run_time_ms", "%d is out of range", q.RunTimeMillis)
+	case q.DeadlineMillis < 0 || q.DeadlineMillis > maxMillis:
+		return badField("deadline_ms", "%d is out of range", q.DeadlineMillis)
+	case !validResources(q.Resources):
+		return badField("resources", "an amount is negative or out of range")
+	case e.Route.Name == "" || e.Route.Pool == "":
+		return badField("kind", "the request has no resolved route")
+	case len(q.Body) > api.MaxBodyBytes:
+		return &api.Error{Code: api.CodeTooLarge, Field: "body", Message: "the body is over 1 MiB", NotRun: true}
+	}
+	return nil
+}
+
+// badField refuses one field; the request was not recorded.
+func badField(field, format string, args ...any) *api.Error {
+	err := api.Errorf(api.CodeBadRequest, format, args...)
+	err.Field, err.NotRun = field, true
+	return err
+}
+
+func validClass(c api.Class) bool {
+	return c == "" || c == api.ClassUrgent || c == api.ClassNormal || c == api.ClassLow
+}
+
+func validResources(r api.Resources) bool {
+	for _, v := range []int64{r.MilliCPU, r.MemoryMB, r.Accelerators} {
+		if v < 0 || v > maxResource {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/partition/sync.go
@@ -0,0 +1,192 @@
+package partition
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// startSync sends a sync unless one is outstanding. It grants the task lease.
+func (o *owner) startSync(now time.Duration, w *workerState) {
+	if w.syncing || w.ann.URL == "" {
+		return
+	}
+	o.log.syncs++
+	w.syncing, w.syncSequence, w.syncSentAt = true, o.log.syncs, now
+	w.echoedAt = max(w.echoedAt, w.tokenAt)
+	w.ackSent = len(w.acks)
+	o.emit(SendSync{Worker: w.name, URL: w.ann.URL, Sequence: w.syncSequence, Request: api.SyncRequest{
+		Partition: o.p.cfg.Name, Epoch: o.epoch, EchoToken: w.token, EchoIncarnation: w.incarnation,
+		LeaseMillis: api.Millis(o.p.cfg.TaskLease), Acknowledged: slices.Clone(w.acks),
+		WaitMillis: api.Millis(syncWait),
+	}})
+}
+
+// resumeSync sends the sync that waited for end records.
+func (o *owner) resumeSync(now time.Duration, w *workerState) {
+	if w.synced && w.pendingEnds == 0 && !w.failing {
+		o.startSync(now, w)
+	}
+}
+
+// acknowledge lists an end to be acknowledged with the next sync.
+func (o *owner) acknowledge(w *workerState, id api.TaskID) {
+	if !slices.Contains(w.acks, id) {
+		w.acks = append(w.acks, id)
+	}
+}
+
+// syncFailed handles a sync without an answer.
+func (o *owner) syncFailed(now time.Duration, e *SyncFailed) {
+	if w := o.workers[e.Worker]; w != nil && w.syncing && w.syncSequence == e.Sequence {
+		o.failSync(now, w)
+	}
+}
+
+// failSync stops new placements on a worker; its tasks keep their lease.
+func (o *owner) failSync(now time.Duration, w *workerState) {
+	w.syncing, w.failing = false, true
+	w.nextSyncAt = now + syncRetry
+	o.refresh(now, w)
+}
+
+// syncAnswered takes a worker's report.
+func (o *owner) syncAnswered(now time.Duration, e *Synced) {
+	w, r := o.workers[e.Worker], &e.Response
+	if w == nil || !w.syncing || w.syncSequence != e.Sequence {
+		return
+	}
+	if r.StaleEpoch > o.epoch {
+		o.disputed(e.Worker, r.StaleEpoch)
+		return
+	}
+	if r.StaleEpoch != 0 || r.Worker != w.name || r.Incarnation == "" || r.Token < 1 ||
+		slices.Contains(w.superseded, r.Incarnation) {
+		o.failSync(now, w)
+		return
+	}
+	w.syncing = false
+	o.takeReport(now, w, r)
+	o.scheduleSync(now, w)
+}
+
+// takeReport brings the state of a worker in line with its report. The order matters:
+// ends resolve attempts before these can be found missing.
+func (o *owner) takeReport(now time.Duration, w *workerState, r *api.SyncResponse) {
+	if r.Incarnation != w.incarnation {
+		o.replaceIncarnation(now, w, r.Incarnation)
+	}
+	w.noteToken(now, r.Token)
+	w.synced, w.failing, w.lost = true, false, false
+	w.acks, w.ackSent = slices.Delete(w.acks, 0, min(w.ackSent, len(w.acks))), 0
+	w.leaving = w.leaving || r.Leaving || w.ann.Leaving && w.ann.Incarnation == w.incarnation
+	if r.Capacity != nil {
+		w.capacity = *r.Capacity
+	}
+	o.enterScheduler(now, w)
+	for i := range r.Ended {
+		o.ended(now, w, &r.Ended[i])
+	}
+	o.takeRunning(now, w, r)
+	o.takeMissing(now, w, r)
+	for _, u := range r.Usage {
+		if o.attempts[u.Task] != nil {
+			o.sched.ReportUsage(now, u.Task.RequestKey, u.Used)
+		}
+	}
+	o.refresh(now, w)
+}
+
+// scheduleSync sends the next sync at once, unless ends of this answer are about to be
+// committed, whose acknowledgements it then carries, or the announcement of the
+// worker's new incarnation is missing: the worker announces itself only while no sync
+// reaches it.
+func (o *owner) scheduleSync(now time.Duration, w *workerState) {
+	switch {
+	case w.ann.Incarnation != w.incarnation:
+		w.nextSyncAt = now + o.certainLease
+	case w.pendingEnds > 0:
+		w.nextSyncAt = now + ackHold
+	default:
+		o.startSync(now, w)
+	}
+}
+
+// takeRunning confirms the attempts that the worker lists as running. One that must not
+// run is stopped, and its worker gets no new work meanwhile, since it is not in the
+// account.
+func (o *owner) takeRunning(now time.Duration, w *workerState, r *api.SyncResponse) {
+	strays := false
+	for _, id := range r.Running {
+		a := o.attempts[id]
+		if a == nil {
+			a = o.adopt(now, w, id)
+		}
+		if a == nil || a.worker != w || a.incarnation != w.incarnation || a.state == attemptGone {
+			strays = true
+			o.emit(SendStop{Worker: w.name, URL: w.ann.URL, Command: api.TaskCommand{Task: id, Epoch: o.epoch}})
+			continue
+		}
+		o.confirm(now, a)
+		o.ask(now, a)
+	}
+	w.strays = strays
+}
+
+// adopt takes over a task of an idempotent request that an older epoch dispatched
+// without its claim becoming durable.
+func (o *owner) adopt(now time.Duration, w *workerState, id api.TaskID) *attempt {
+	l := o.live[id.RequestKey]
+	if l == nil || !l.inherited || l.number > 0 || l.rec.Spec.NonIdempotent ||
+		attemptEpoch(id.Attempt) >= o.epoch || l.rec.attempt(id.Attempt) != nil {
+		return nil
+	}
+	if l.phase != phaseDoubt && l.phase != phaseBackoff && l.phase != phaseActive {
+		return nil
+	}
+	l.phase = phaseActive
+	a := &attempt{
+		live: l, worker: w, incarnation: w.incarnation, id: id,
+		state: attemptUncertain, expires: o.doubtUntil, halting: l.cancelWanted,
+	}
+	o.addAttempt(a)
+	o.proposeClaim(now, a)
+	return a
+}
+
+// takeMissing resolves the attempts that a worker does not list.
+func (o *owner) takeMissing(now time.Duration, w *workerState, r *api.SyncResponse) {
+	listed := make(map[api.TaskID]bool, len(r.Running)+len(r.Ended))
+	for _, id := range r.Running {
+		listed[id] = true
+	}
+	for i := range r.Ended {
+		listed[r.Ended[i].Task] = true
+	}
+	for _, a := range append([]*attempt(nil), w.attempts...) {
+		switch {
+		case a.ending || a.state == attemptClaiming:
+		case a.incarnation != w.incarnation:
+			o.lose(now, a, "its worker was restarted")
+		case !listed[a.id]:
+			o.missing(now, w, a)
+		}
+	}
+}
+
+// missing handles an attempt that its incarnation does not list. If the sync was sent
+// after the dispatch had expired, the task never started and never will. A worker lists
+// ends until they are acknowledged, so one that does not list a started task has failed;
+// the task does not run.
+func (o *owner) missing(now time.Duration, w *workerState, a *attempt) {
+	switch {
+	case a.confirmed && w.syncSentAt > a.confirmedAt:
+		o.lose(now, a, "its worker no longer knows the task")
+	case a.confirmed:
+	case w.syncSentAt >= a.expires:
+		o.proposeEnd(now, a, attemptRefused, "the worker never received the task")
+	case attemptEpoch(a.id.Attempt) < o.epoch:
+		o.ask(now, a)
+	}
+}
--- /dev/null
+++ b/partition/timers.go
@@ -0,0 +1,43 @@
+package partition
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer calls run at the first Step or Apply at or after its time.
+type timer struct {
+	at    time.Duration
+	order uint64
+	run   func(now time.Duration)
+}
+
+// timerHeap orders timers by time, then by creation. Owned by the owner.
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+// after schedules run at the given time.
+func (o *owner) after(at time.Duration, run func(now time.Duration)) {
+	o.timerOrder++
+	heap.Push(&o.timers, timer{at: at, order: o.timerOrder, run: run})
+}
+
+// runTimers runs what is due.
+func (o *owner) runTimers(now time.Duration) {
+	for len(o.timers) > 0 && o.timers[0].at <= now {
+		heap.Pop(&o.timers).(timer).run(now)
+	}
+}
--- a/partition/types.go
+++ b/partition/types.go
@@ -64,14 +64,20 @@
 // Announced is a worker's announcement, forwarded by an entry VM.
 type Announced struct{ Announcement api.Announcement }
 
-// Synced is the answer to a Sync action.
+// Synced is the answer to a SendSync action. Sequence is the one of that action; an
+// answer to any but the outstanding sync is ignored, since it shows an older state of
+// the worker.
 type Synced struct {
 	Worker   string
+	Sequence uint64
 	Response api.SyncResponse
 }
 
-// SyncFailed ends a Sync action without an answer.
-type SyncFailed struct{ Worker string }
+// SyncFailed ends a SendSync action without an answer. Sequence is the one of that action.
+type SyncFailed struct {
+	Worker   string
+	Sequence uint64
+}
 
 // DispatchAnswered is the answer to a SendDispatch action. Response is nil when the
 // call failed and the worker may or may not have received it.
@@ -91,7 +97,12 @@
 
 // BecameOwner tells that this replica leads the group with a valid lease, has applied
 // everything of earlier terms, and may act with this epoch.
-type BecameOwner struct{ Epoch uint64 }
+type BecameOwner struct {
+	Epoch uint64
+	// NowUnixMillis is wall-clock time in milliseconds, from which the remaining
+	// deadlines of queued requests are computed; with 0 they start anew.
+	NowUnixMillis int64
+}
 
 // LostOwnership tells that the replica no longer leads. All waiters are answered with
 // CodeUnknownResult, soft state is dropped, and no action is returned until
@@ -133,9 +144,10 @@
 
 // SendSync calls POST /v1/sync on the worker and returns Synced or SyncFailed.
 type SendSync struct {
-	Worker  string
-	URL     string
-	Request api.SyncRequest
+	Worker   string
+	URL      string
+	Sequence uint64 // to be repeated in Synced or SyncFailed
+	Request  api.SyncRequest
 }
 
 // SendDispatch calls POST /v1/tasks on the worker and returns DispatchAnswered.
@@ -166,9 +178,19 @@
 	Err    *api.Error
 }
 
+// OwnershipDisputed tells that a worker has seen a higher epoch than this owner's. The
+// partition has already given up its ownership as on LostOwnership; the embedder should
+// step down and must not carry out actions of the former epoch.
+type OwnershipDisputed struct {
+	Worker string
+	Epoch  uint64 // the higher epoch
+}
+
 func (Propose) isAction()      {}
 func (SendSync) isAction()     {}
 func (SendDispatch) isAction() {}
 func (SendRevoke) isAction()   {}
 func (SendStop) isAction()     {}
 func (Reply) isAction()        {}
+
+func (OwnershipDisputed) isAction() {}
--- /dev/null
+++ b/partition/waiters.go
@@ -0,0 +1,153 @@
+package partition
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// waiter is a call that has not been answered.
+type waiter struct {
+	id WaiterID
+	// until is when the call is answered with the current state.
+	until    time.Duration
+	answered bool
+}
+
+// reply answers a call at once.
+func (o *owner) reply(id WaiterID, status *api.RequestStatus, err *api.Error) {
+	o.emit(Reply{Waiter: id, Status: status, Err: err})
+}
+
+// join makes a call wait for the outcome of a request, until the given time at the
+// latest. A call that joins a commit in progress waits at least commitGrace for it.
+func (o *owner) join(now time.Duration, l *liveRequest, id WaiterID, until time.Duration) {
+	if len(o.waiters) >= maxWaiters || o.waiters[id] != nil {
+		if l.rec != nil {
+			o.reply(id, o.status(l.rec), nil)
+		} else {
+			o.reply(id, nil, api.Errorf(api.CodeUnknownResult, "too many calls are waiting; ask by key"))
+		}
+		return
+	}
+	w := &waiter{id: id, until: min(until, now+maxWait)}
+	if now >= w.until && !o.committing(l) {
+		o.reply(id, o.status(l.rec), nil)
+		return
+	}
+	o.waiters[id] = w
+	l.waiters = append(l.waiters, w)
+	if !o.committing(l) {
+		o.after(w.until, func(time.Duration) { o.answerWaiter(l, w) })
+		return
+	}
+	grace := max(w.until, now+commitGrace)
+	o.after(w.until, func(now time.Duration) {
+		if now >= grace || !o.committing(l) {
+			o.answerWaiter(l, w)
+		}
+	})
+	o.after(grace, func(time.Duration) { o.answerWaiter(l, w) })
+}
+
+// committing reports whether an answer has to wait for a commit.
+func (o *owner) committing(l *liveRequest) bool {
+	return l.rec == nil || l.phase == phaseClosing || l.cancelWanted && !l.rec.Cancelled
+}
+
+// answerWaiter answers a call with the current state.
+func (o *owner) answerWaiter(l *liveRequest, w *waiter) {
+	if w.answered {
+		return
+	}
+	if l.rec == nil {
+		o.reply(w.id, nil, api.Errorf(api.CodeUnknownResult, "the accept is not durable yet; ask by key"))
+	} else {
+		o.reply(w.id, o.status(l.rec), nil)
+	}
+	o.removeWaiter(w)
+	l.answered++
+	if l.answered > len(l.waiters)/2 {
+		l.compactWaiters()
+	}
+}
+
+// removeWaiter marks a call as answered.
+func (o *owner) removeWaiter(w *waiter) {
+	w.answered = true
+	delete(o.waiters, w.id)
+}
+
+// compactWaiters drops answered calls from the list.
+func (l *liveRequest) compactWaiters() {
+	kept := l.waiters[:0]
+	for _, w := range l.waiters {
+		if !w.answered {
+			kept = append(kept, w)
+		}
+	}
+	clear(l.waiters[len(kept):])
+	l.waiters, l.answered = kept, 0
+}
+
+// answerLive answers all calls that wait for a request.
+func (o *owner) answerLive(l *liveRequest) {
+	for _, w := range l.waiters {
+		if !w.answered {
+			o.reply(w.id, o.status(l.rec), nil)
+			o.removeWaiter(w)
+		}
+	}
+	l.waiters, l.answered = nil, 0
+}
+
+// answerDue answers the calls whose waiting time has passed while a commit was awaited.
+func (o *owner) answerDue(now time.Duration, l *liveRequest) {
+	if o.committing(l) {
+		return
+	}
+	for _, w := range append([]*waiter(nil), l.waiters...) {
+		if now >= w.until {
+			o.answerWaiter(l, w)
+		}
+	}
+}
+
+// answerAll answers every waiting call with an error.
+func (o *owner) answerAll(err *api.Error) {
+	ids := make([]WaiterID, 0, len(o.waiters))
+	for id := range o.waiters {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		o.reply(id, nil, err)
+	}
+	clear(o.waiters)
+}
+
+// forget drops a call whose caller has gone.
+func (o *owner) forget(id WaiterID) {
+	if w := o.waiters[id]; w != nil {
+		o.removeWaiter(w)
+	}
+}
+
+// query waits for the outcome of a key.
+func (o *owner) query(now time.Duration, e *Query) {
+	if l := o.live[e.Key]; l != nil && l.phase != phaseOutcome {
+		o.join(now, l, e.Waiter, e.WaitUntil)
+		return
+	}
+	if r := o.p.records[e.Key]; r != nil {
+		o.reply(e.Waiter, o.status(r), nil)
+		return
+	}
+	o.reply(e.Waiter, nil, notFound(e.Key))
+}
+
+// notFound answers for a key without a record.
+func notFound(key api.RequestKey) *api.Error {
+	return api.Errorf(api.CodeNotFound, "no request with key %q of caller %q", key.Key, key.Caller)
+}
--- /dev/null
+++ b/partition/worker.go
@@ -0,0 +1,197 @@
+package partition
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/placement"
+)
+
+// workerState is the owner's view of one worker.
+type workerState struct {
+	name string
+	// ann is the announcement in use. candidate is one of another incarnation, which
+	// counts once a sync is answered by that incarnation.
+	ann       api.Announcement
+	candidate api.Announcement
+	announced time.Duration // when the last announcement came
+	// incarnation is the one that answered the last sync; superseded lists former ones.
+	incarnation string
+	superseded  []string
+	// synced: it has answered a sync of this epoch and is not lost. known: it is in the
+	// scheduler. placeable: it may get new work.
+	synced    bool
+	known     bool
+	placeable bool
+	failing   bool // the last sync failed
+	leaving   bool
+	lost      bool
+	strays    bool // it runs tasks that are not in the account
+	capacity  api.Resources
+	// attempts are those without a confirmed end.
+	attempts []*attempt
+	// pendingEnds counts reported ends whose records are not committed.
+	pendingEnds int
+	// acks are the ends to acknowledge; the first ackSent are in the outstanding sync.
+	acks      []api.TaskID
+	ackSent   int
+	described placement.Worker
+	lostAt    time.Duration
+
+	// token is the newest one received from the incarnation, at tokenAt. echoedAt is
+	// when the newest token that was ever sent back had been received.
+	token    int64
+	tokenAt  time.Duration
+	echoedAt time.Duration
+
+	syncing      bool // a sync is outstanding
+	syncSequence uint64
+	syncSentAt   time.Duration
+	nextSyncAt   time.Duration
+}
+
+// worker returns the state of a worker, new if needed.
+func (o *owner) worker(name string) *workerState {
+	w := o.workers[name]
+	if w == nil {
+		w = &workerState{name: name}
+		o.workers[name] = w
+		o.workerOrder = append(o.workerOrder, w)
+	}
+	return w
+}
+
+// announced takes an announcement. It proves nothing about the incarnation that lives
+// now, since it may be delayed; a sync is started to find out.
+func (o *owner) announced(now time.Duration, a *api.Announcement) {
+	if a.Worker == "" || a.Incarnation == "" || a.URL == "" {
+		return
+	}
+	w := o.worker(a.Worker)
+	if slices.Contains(w.superseded, a.Incarnation) {
+		return
+	}
+	w.announced = now
+	if a.Incarnation != w.incarnation && w.synced && !w.failing {
+		w.candidate = *a
+		return
+	}
+	w.ann = *a
+	if w.synced && a.Incarnation == w.incarnation {
+		w.leaving = w.leaving || a.Leaving
+		o.enterScheduler(now, w)
+	}
+	o.startSync(now, w)
+}
+
+// enterScheduler adds a worker to the scheduler or updates it there.
+func (o *owner) enterScheduler(now time.Duration, w *workerState) {
+	if !w.synced || w.ann.Incarnation != w.incarnation {
+		return
+	}
+	if w.capacity == (api.Resources{}) {
+		w.capacity = w.ann.Capacity
+	}
+	d := placement.Worker{
+		Name: w.name, Pool: w.ann.Pool, Rack: w.ann.Rack, FailureDomain: w.ann.FailureDomain,
+		Region: w.ann.Region, Capacity: w.capacity, Slots: w.ann.Slots, Connections: w.ann.Connections,
+	}
+	if !w.known || d != w.described {
+		w.described, w.known = d, true
+		w.placeable = true
+		o.sched.UpsertWorker(now, d)
+		o.decideDue = true
+	}
+	o.refresh(now, w)
+}
+
+// refresh tells the scheduler whether a worker may get new work.
+func (o *owner) refresh(now time.Duration, w *workerState) {
+	if !w.known {
+		w.placeable = false
+		return
+	}
+	may := w.synced && !w.failing && !w.leaving && !w.strays && !w.silent(now)
+	if may == w.placeable {
+		return
+	}
+	w.placeable = may
+	o.sched.SetPlaceable(now, w.name, may)
+	o.decideDue = o.decideDue || may
+}
+
+// leaveScheduler removes a worker from the scheduler, with its reservations.
+func (o *owner) leaveScheduler(now time.Duration, w *workerState) {
+	if w.known {
+		o.sched.RemoveWorker(now, w.name)
+	}
+	w.known, w.placeable = false, false
+	for _, a := range w.attempts {
+		a.reserved = false
+	}
+}
+
+// replaceIncarnation notes that another process answers in the worker's name. The
+// former process and its tasks are dead.
+func (o *owner) replaceIncarnation(now time.Duration, w *workerState, incarnation string) {
+	if w.incarnation != "" {
+		w.superseded = append(w.superseded, w.incarnation)
+		if len(w.superseded) > maxSuperseded {
+			w.superseded = w.superseded[1:]
+		}
+	}
+	o.leaveScheduler(now, w)
+	w.incarnation = incarnation
+	w.token, w.tokenAt = 0, 0
+	w.acks, w.ackSent = nil, 0
+	w.leaving, w.capacity = false, api.Resources{}
+	if w.candidate.Incarnation == incarnation {
+		w.ann = w.candidate
+	}
+}
+
+// tickWorker does what depends on time alone.
+func (o *owner) tickWorker(now time.Duration, w *workerState) {
+	if w.syncing && now-w.syncSentAt > syncTimeout {
+		o.failSync(now, w)
+	}
+	if w.synced && now >= o.leaseEnd(w) {
+		o.loseWorker(now, w)
+	}
+	if w.synced && !w.syncing && now >= w.nextSyncAt {
+		o.startSync(now, w)
+	}
+	o.refresh(now, w)
+}
+
+// loseWorker gives up a worker whose lease has certainly ended. An answer to the sync
+// that is still outstanding would show an older state, so it is no longer expected.
+func (o *owner) loseWorker(now time.Duration, w *workerState) {
+	w.synced, w.syncing, w.lost = false, false, true
+	w.token, w.tokenAt = 0, 0
+	w.acks, w.ackSent = nil, 0
+	w.lostAt = now
+	o.leaveScheduler(now, w)
+	o.loseAttempts(now, w, "its worker was lost")
+}
+
+// loseAttempts records the attempts of a worker as lost.
+func (o *owner) loseAttempts(now time.Duration, w *workerState, reason string) {
+	for _, a := range append([]*attempt(nil), w.attempts...) {
+		o.lose(now, a, reason)
+	}
+}
+
+// dropLostWorkers forgets workers that have been silent for long and hold nothing.
+func (o *owner) dropLostWorkers(now time.Duration) {
+	gone := func(w *workerState) bool {
+		since := max(w.lostAt, w.announced, o.start)
+		if w.synced || w.syncing || len(w.attempts) > 0 || now-since < lostWorkerRetention {
+			return false
+		}
+		delete(o.workers, w.name)
+		return true
+	}
+	o.workerOrder = slices.DeleteFunc(o.workerOrder, gone)
+}
