--- a/partition/owner.go
+++ b/partition/owner.go
@@ -97,6 +97,9 @@
 		decideDue:    true,
 	}
 	o.doubtUntil = now + o.certainLease
+	// Sequences carry the epoch, since answers to calls of an earlier ownership of this
+	// replica may still arrive.
+	o.log.sequence, o.log.syncs = e.Epoch<<sequenceBits, e.Epoch<<sequenceBits
 	o.budget = newRetryBudget(now)
 	o.sched.SetPools(p.tables.Pools)
 	for _, r := range p.sortedRecords() {
--- a/partition/propose.go
+++ b/partition/propose.go
@@ -6,6 +6,9 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
+// sequenceBits is the width of the counter in sequences; the epoch is above it.
+const sequenceBits = 32
+
 // proposer collects commands and turns them into few log entries (group commit).
 type proposer struct {
 	pending  []cbor.RawMessage
