transport: net/rpc over two lanes with deadlines, pings and typed outcomes

Cause: net/rpc has no deadline, waits for ever on a silent connection and does not tell a call that was not sent from one that may have run.

Change: a codec over chunked messages. A call is ErrNotSent only if its first byte was withheld or a draining server refused it.

--- /dev/null
+++ b/transport/codec.go
@@ -0,0 +1,186 @@
+package transport
+
+import (
+	"bytes"
+	"io"
+	"net/rpc"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const maxArrayElements = 1 << 24
+
+var (
+	encMode = mustMode(cbor.EncOptions{}.UserBufferEncMode())
+	decMode = mustMode(cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode())
+)
+
+func mustMode[M any](m M, err error) M {
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// envelope goes before the body of each message.
+type envelope struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	Method string `cbor:"2,keyasint,omitempty"`
+	Error  string `cbor:"3,keyasint,omitempty"`
+}
+
+func encodeMessage(e envelope, body any) ([]byte, error) {
+	var buf bytes.Buffer
+	if err := encMode.MarshalToBuffer(e, &buf); err != nil {
+		return nil, err
+	}
+	if err := encMode.MarshalToBuffer(body, &buf); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// receiver decodes the messages of one link for net/rpc, which reads them from one
+// goroutine.
+type receiver struct {
+	link *link
+	body []byte
+}
+
+func (r *receiver) next(stop <-chan struct{}) (e envelope, err error) {
+	select {
+	case data := <-r.link.in:
+		r.body, err = decMode.UnmarshalFirst(data, &e)
+		return e, errors.Wrap(err, "decode envelope")
+	case <-r.link.done:
+		return e, io.EOF
+	case <-stop:
+		return e, io.EOF
+	}
+}
+
+func (r *receiver) decodeBody(into any) error {
+	if into == nil {
+		return nil
+	}
+	return decMode.Unmarshal(r.body, into)
+}
+
+// clientCodec implements rpc.ClientCodec over a link.
+type clientCodec struct {
+	receiver
+	// withdrawn carries the sequence numbers of calls that were withdrawn before they
+	// were sent, so that net/rpc forgets them.
+	withdrawn chan uint64
+	isLocal   bool // the present response is such a one
+}
+
+// outgoing is what a Peer gives net/rpc as arguments; it returns the message that
+// carries them.
+type outgoing struct {
+	args any
+	seq  uint64
+	msg  *message
+}
+
+// WriteRequest queues the call. It does not wait for the network.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	out := body.(*outgoing)
+	data, err := encodeMessage(envelope{Seq: r.Seq, Method: r.ServiceMethod}, out.args)
+	if err != nil {
+		return err
+	}
+	if len(data) > c.link.maxMessage {
+		return errTooLarge
+	}
+	out.seq = r.Seq
+	msg := &message{data: data}
+	if err := c.link.out.push(msg, false); err != nil {
+		return err
+	}
+	out.msg = msg
+	return nil
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	select {
+	case r.Seq = <-c.withdrawn:
+		c.isLocal, r.Error = true, errWithdrawn.Error()
+		return nil
+	case data := <-c.link.in:
+		var e envelope
+		var err error
+		c.isLocal = false
+		c.body, err = decMode.UnmarshalFirst(data, &e)
+		r.Seq, r.ServiceMethod, r.Error = e.Seq, e.Method, e.Error
+		return errors.Wrap(err, "decode envelope")
+	case <-c.link.done:
+		return io.EOF
+	}
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if c.isLocal {
+		return nil
+	}
+	return c.decodeBody(body)
+}
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error {
+	c.link.close(errClosed)
+	return nil
+}
+
+// serverCodec implements rpc.ServerCodec over a link.
+type serverCodec struct {
+	receiver
+	stop <-chan struct{} // closed when the server takes no more calls
+	// lastTurn ends when the newest ordered call on this link has been handled. It is
+	// owned by the goroutine that reads requests.
+	lastTurn <-chan struct{}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	e, err := c.next(c.stop)
+	r.Seq, r.ServiceMethod = e.Seq, e.Method
+	return err
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if err := c.decodeBody(body); err != nil {
+		return err
+	}
+	if o, ok := body.(interface {
+		enqueue(after <-chan struct{}) <-chan struct{}
+	}); ok {
+		c.lastTurn = o.enqueue(c.lastTurn)
+	}
+	return nil
+}
+
+// WriteResponse queues the answer. It waits while the queue of the link is full.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	data, err := encodeMessage(envelope{Seq: r.Seq, Error: r.Error}, body)
+	if err == nil && len(data) > c.link.maxMessage {
+		err = errTooLarge
+	}
+	if err != nil {
+		data, err = encodeMessage(envelope{Seq: r.Seq, Error: "encode answer: " + err.Error()}, struct{}{})
+	}
+	if err != nil {
+		return err
+	}
+	return c.link.out.push(&message{data: data}, true)
+}
+
+// Close lets the answers that wait be written. The link ends with its writer.
+func (c *serverCodec) Close() error {
+	c.link.out.finishAndClose()
+	return nil
+}
