server: daemon of an entry VM; partitions keep their first replicas

Cause: the cores need sockets, files and timers round them, and a replica that lost its disk must not create its group a second time. Change: package server with one control goroutine, storage goroutines, HTTP and net/rpc handlers, forwarding to owners, drain; control.Partition.Initial.

--- a/control/state.go
+++ b/control/state.go
@@ -100,6 +100,10 @@
 			return refused("partition %q has two replicas on VM %q", p.Name, r.VM)
 		}
 	}
+	p.Initial = slices.Clone(p.Replicas)
+	if present, ok := s.partitions[p.Name]; ok {
+		p.Initial = present.Initial
+	}
 	s.partitions[p.Name] = p
 	return Result{}
 }
--- a/control/vm.go
+++ b/control/vm.go
@@ -25,9 +25,14 @@
 type Partition struct {
 	Name     string    `cbor:"1,keyasint"`
 	Replicas []Replica `cbor:"2,keyasint"`
+	// Initial are the replicas of the first assignment, which create the group. They
+	// are set by the state machine and never change: a VM that is not among them starts
+	// empty and learns the members from the group, also after its own disk was lost.
+	Initial []Replica `cbor:"3,keyasint,omitempty"`
 }
 
 func clonePartition(p Partition) Partition {
 	p.Replicas = append([]Replica(nil), p.Replicas...)
+	p.Initial = append([]Replica(nil), p.Initial...)
 	return p
 }
--- a/partition/scheduler.go
+++ b/partition/scheduler.go
@@ -41,10 +41,5 @@
 	Stats() SchedulerStats
 }
 
-// SchedulerStats counts what a Scheduler holds. Package placement will define the same
-// fields as placement.Stats; this then becomes an alias of it.
-type SchedulerStats struct {
-	Queued  int
-	Running int
-	Workers int
-}
+// SchedulerStats counts what a Scheduler holds.
+type SchedulerStats = placement.Stats
--- /dev/null
+++ b/server/control.go
@@ -0,0 +1,184 @@
+package server
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+	"github.com/oleanderchute/oleanderchute/raft"
+)
+
+// groupControl is the name of the control group.
+const groupControl = "control"
+
+// groupOfPartition returns the name of a partition's group.
+func groupOfPartition(name string) string { return "partition-" + name }
+
+// controlHost is this VM's member of the control group. Owned by the control goroutine.
+type controlHost struct {
+	s     *Server
+	group *group
+	state *control.State
+	// waiting holds the proposals of this VM by log index until they are applied.
+	waiting map[uint64]proposal
+}
+
+// proposal waits for its entry; another term at its index means that it is lost.
+type proposal struct {
+	term uint64
+	done func(control.Result, bool)
+}
+
+// apply implements stateMachine.
+func (c *controlHost) apply(now time.Duration, e raft.Entry) {
+	before := c.state.Version()
+	result := c.state.Apply(e.Index, e.Data)
+	c.finishProposals(e, result)
+	c.s.changed = true
+	if c.state.Version() != before {
+		c.s.log.Info("tables changed", zap.Uint64("version", c.state.Version()))
+		c.s.tablesChanged(now)
+	}
+}
+
+func (c *controlHost) restore(data []byte) error {
+	c.s.changed = true
+	if err := c.state.Restore(data); err != nil {
+		return err
+	}
+	c.s.tablesChanged(c.s.loop.now())
+	return nil
+}
+
+func (c *controlHost) snapshot() []byte { return c.state.Snapshot() }
+
+func (c *controlHost) finishProposals(e raft.Entry, result control.Result) {
+	p, ok := c.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(c.waiting, e.Index)
+	p.done(result, p.term == e.Term)
+}
+
+// propose adds a command; done is called with the result and true once it is applied,
+// or with false when the entry at its index is another one.
+func (c *controlHost) propose(now time.Duration, data []byte, done func(control.Result, bool)) error {
+	index, term, err := c.group.node.Propose(now, data)
+	if err != nil {
+		return err
+	}
+	if old, ok := c.waiting[index]; ok {
+		old.done(control.Result{}, false)
+	}
+	c.waiting[index] = proposal{term: term, done: done}
+	return nil
+}
+
+// proposeInternal adds a command whose result nobody awaits; the reconciliation
+// proposes it again while it is needed.
+func (c *controlHost) proposeInternal(now time.Duration, data []byte) {
+	err := c.propose(now, data, func(control.Result, bool) {})
+	if err != nil {
+		c.s.log.Debug("internal command not proposed", zap.Error(err))
+	}
+}
+
+// manage runs on the control leader: it registers VMs, plans partitions and brings the
+// membership of the control group to what is registered.
+func (c *controlHost) manage(now time.Duration) {
+	if !c.group.leads(now) {
+		return
+	}
+	c.group.reconcile(now, c.wantedMembers())
+	c.planPartitions(now)
+}
+
+// controlVoters is the number of voters of the control group: one failure domain of
+// three may be lost.
+const controlVoters = 3
+
+// wantedMembers chooses the voters among VMs with a disk, keeping those that vote now
+// and spreading the others over the failure domains; all other VMs follow.
+func (c *controlHost) wantedMembers() wantedMembers {
+	vms := c.state.VMs()
+	current := c.group.node.Status().Membership.Voters
+	var want wantedMembers
+	for _, vm := range chooseVoters(vms, current, controlVoters) {
+		want.voters = append(want.voters, raft.NodeID(vm.Node))
+	}
+	for _, vm := range vms {
+		if id := raft.NodeID(vm.Node); !slices.Contains(want.voters, id) {
+			want.learners = append(want.learners, id)
+		}
+	}
+	return want
+}
+
+// chooseVoters returns up to count VMs with a disk: first those in current, then those
+// whose failure domain has the fewest voters, by name.
+func chooseVoters(vms []control.VM, current []raft.NodeID, count int) []control.VM {
+	var chosen []control.VM
+	perDomain := map[string]int{}
+	take := func(vm control.VM) {
+		chosen = append(chosen, vm)
+		perDomain[vm.FailureDomain]++
+	}
+	for _, vm := range vms {
+		if vm.HasDisk && len(chosen) < count && slices.Contains(current, raft.NodeID(vm.Node)) {
+			take(vm)
+		}
+	}
+	for len(chosen) < count {
+		best := -1
+		for i, vm := range vms {
+			if !vm.HasDisk || slices.Contains(chosen, vm) {
+				continue
+			}
+			if best < 0 || perDomain[vm.FailureDomain] < perDomain[vms[best].FailureDomain] {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		take(vms[best])
+	}
+	return chosen
+}
+
+// planPartitions proposes the assignments that differ from the plan, one at a time.
+func (c *controlHost) planPartitions(now time.Duration) {
+	existing := c.state.Partitions()
+	for _, p := range control.PlanPartitions(c.state.VMs(), existing) {
+		if !slices.ContainsFunc(existing, func(e control.Partition) bool { return samePartition(e, p) }) {
+			c.proposeInternal(now, control.EncodeAssign(p))
+			return
+		}
+	}
+}
+
+func samePartition(a, b control.Partition) bool {
+	return a.Name == b.Name && slices.Equal(a.Replicas, b.Replicas)
+}
+
+// applyChange proposes an operator's change; done gets the answer.
+func (c *controlHost) applyChange(now time.Duration, req api.ApplyRequest, workers []control.WorkerInfo, done func(*api.ApplyResponse, *api.Error)) {
+	data := c.state.EncodeChange(control.Change{Request: req, UnixMillis: time.Now().UnixMilli(), Workers: control.SummarizeWorkers(workers)})
+	err := c.propose(now, data, func(r control.Result, ok bool) {
+		switch {
+		case !ok:
+			done(nil, api.Errorf(api.CodeUnknownResult, "the control leader changed; send the change again with the same change id"))
+		case r.Err != nil:
+			done(nil, r.Err)
+		default:
+			done(r.Apply, nil)
+		}
+	})
+	if err != nil {
+		done(nil, api.Errorf(api.CodeUnavailable, "the control leader takes no change: %v", err))
+	}
+}
--- /dev/null
+++ b/server/decode.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// maxHTTPBody bounds the body of any call: a request body of api.MaxBodyBytes in
+// base64 with room for the other fields.
+const maxHTTPBody = api.MaxBodyBytes*4/3 + 64<<10
+
+// decodeJSON reads one JSON value strictly: unknown fields, wrong types and trailing
+// data are refused with the field's name.
+func decodeJSON(r io.Reader, v any) *api.Error {
+	data, err := io.ReadAll(io.LimitReader(r, maxHTTPBody+1))
+	if err != nil {
+		return api.Errorf(api.CodeBadRequest, "the body could not be read: %v", err)
+	}
+	if len(data) > maxHTTPBody {
+		return api.Errorf(api.CodeTooLarge, "the body is larger than %d bytes", maxHTTPBody)
+	}
+	dec := json.NewDecoder(strings.NewReader(string(data)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if dec.More() {
+		return api.Errorf(api.CodeBadRequest, "the body holds more than one JSON value")
+	}
+	return nil
+}
+
+func decodeError(err error) *api.Error {
+	out := api.Errorf(api.CodeBadRequest, "the body is no valid JSON for this call: %v", err)
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		out.Field = typeErr.Field
+		out.Message = "wrong type: expected " + typeErr.Type.String() + ", found " + typeErr.Value
+		return out
+	}
+	const prefix = `json: unknown field "`
+	if msg := err.Error(); strings.HasPrefix(msg, prefix) {
+		out.Field = strings.TrimSuffix(strings.TrimPrefix(msg, prefix), `"`)
+		out.Message = "unknown field"
+	}
+	return out
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error here means that the client has gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, e *api.Error) { writeJSON(w, e.Code.HTTPStatus(), e) }
--- /dev/null
+++ b/server/forward.go
@@ -0,0 +1,98 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// forwardFor is how long an entry VM looks for the owner of a partition before it
+// gives up. An election takes 1 to 2 s.
+const forwardFor = 4 * time.Second
+
+// forwardBackoff is the pause between two rounds over the candidates.
+const forwardBackoff = 100 * time.Millisecond
+
+// forward calls the owner of a partition and follows hints until it is found. Submit,
+// query and cancel are keyed, so a call whose fate is uncertain may be repeated. After
+// an uncertain call no refusal counts as proof that nothing runs, since the first copy
+// may still arrive.
+func (s *Server) forward(ctx context.Context, home, method string, args func() any, wait time.Duration) StatusReply {
+	end := time.Now().Add(wait + forwardFor)
+	uncertain := false
+	for time.Now().Before(end) && ctx.Err() == nil {
+		reply, sent, ok := s.tryCandidates(ctx, home, method, args, wait)
+		uncertain = uncertain || sent
+		if ok {
+			return weaken(reply, uncertain)
+		}
+		sleep(ctx, forwardBackoff)
+	}
+	if uncertain {
+		return StatusReply{Err: api.Errorf(api.CodeUnknownResult, "the owner of partition %s stopped answering; ask again by key", home)}
+	}
+	err := api.Errorf(api.CodeUnavailable, "partition %s has no owner at the moment; nothing was accepted", home)
+	err.NotRun = true
+	err.RetryAfterMillis = forwardFor.Milliseconds()
+	return StatusReply{Err: err}
+}
+
+// tryCandidates asks each VM that may be the owner once. sent is true when a call may
+// have been executed without an answer.
+func (s *Server) tryCandidates(ctx context.Context, home, method string, args func() any, wait time.Duration) (reply StatusReply, sent, ok bool) {
+	tried := map[string]bool{}
+	candidates := s.leaderCandidates(s.view.Load(), home)
+	for len(candidates) > 0 {
+		vm := candidates[0]
+		candidates = candidates[1:]
+		if tried[vm] {
+			continue
+		}
+		tried[vm] = true
+		reply = StatusReply{}
+		err := s.callVM(ctx, vm, method, args(), &reply, wait+waiterGrace+callTimeout)
+		if err != nil {
+			s.hints.set(home, "")
+			sent = sent || isUncertain(err)
+			continue
+		}
+		if isOwnerGone(reply) {
+			s.hints.set(home, "")
+			sent = sent || reply.Err.Code == api.CodeUnknownResult
+			continue
+		}
+		if !reply.NotOwner {
+			s.hints.set(home, vm)
+			return reply, sent, true
+		}
+		if reply.Leader != "" && !tried[reply.Leader] {
+			candidates = append([]string{reply.Leader}, candidates...)
+		}
+	}
+	return StatusReply{}, sent, false
+}
+
+// isOwnerGone reports whether the asked VM was the owner and can no longer act: the
+// next owner may answer the same call.
+func isOwnerGone(r StatusReply) bool {
+	return r.Err != nil && (r.Err.Code == api.CodeUnknownResult || r.Err.Code == api.CodeUnavailable)
+}
+
+// weaken turns a refusal after an uncertain call into an unknown result.
+func weaken(reply StatusReply, uncertain bool) StatusReply {
+	if uncertain && reply.Err != nil && reply.Err.NotRun {
+		return StatusReply{Err: api.Errorf(api.CodeUnknownResult, "refused after an earlier copy may have been accepted (%s); ask again by key", reply.Err.Message)}
+	}
+	return reply
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/server/hints.go
@@ -0,0 +1,27 @@
+package server
+
+import "sync"
+
+// leaderHints remembers the VM that last acted as the leader of each group.
+type leaderHints struct {
+	mu sync.Mutex
+	m  map[string]string // guarded by mu
+}
+
+func newLeaderHints() *leaderHints { return &leaderHints{m: make(map[string]string)} }
+
+func (h *leaderHints) get(group string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.m[group]
+}
+
+func (h *leaderHints) set(group, vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if vm == "" {
+		delete(h.m, group)
+		return
+	}
+	h.m[group] = vm
+}
--- /dev/null
+++ b/server/hosted.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/partition"
+	"github.com/oleanderchute/oleanderchute/raft"
+)
+
+// hosted is a replica of one partition on this VM. Owned by the control goroutine.
+type hosted struct {
+	s     *Server
+	name  string
+	group *group
+	core  *partition.Partition
+	// epoch is the raft term in which this replica became the owner; 0 if it is not.
+	epoch    uint64
+	waiters  map[partition.WaiterID]chan StatusReply
+	nextID   partition.WaiterID
+	deferred []partition.Event
+}
+
+// apply implements stateMachine.
+func (h *hosted) apply(now time.Duration, e raft.Entry) {
+	h.do(now, h.core.Apply(now, e.Data))
+}
+
+func (h *hosted) restore(data []byte) error { return h.core.Restore(data) }
+func (h *hosted) snapshot() []byte          { return h.core.Snapshot() }
+
+// mayAct reports whether this replica is the owner and may act now. The lease is
+// checked against the time at each use, so a pause that nobody noticed is covered.
+func (h *hosted) mayAct(now time.Duration) bool {
+	return h.epoch != 0 && h.group.leads(now) && h.group.node.Status().Term == h.epoch
+}
+
+// updateOwnership follows the raft node: it takes ownership once this replica leads
+// with a valid lease and gives it up when it no longer leads in that term. A lease that
+// lapses within one term only defers events, since no other node can lead that term.
+func (h *hosted) updateOwnership(now time.Duration) {
+	st := h.group.node.Status()
+	if h.epoch != 0 && (st.Role != raft.RoleLeader || st.Term != h.epoch) {
+		h.loseOwnership(now)
+	}
+	if h.epoch == 0 && h.group.leads(now) {
+		h.epoch = st.Term
+		h.s.log.Info("became owner of partition", zap.String("partition", h.name), zap.Uint64("epoch", h.epoch))
+		h.do(now, h.core.Step(now, partition.TablesChanged{Tables: h.s.control.state.Tables()}))
+		h.do(now, h.core.Step(now, partition.BecameOwner{Epoch: h.epoch, NowUnixMillis: unixMillis()}))
+	}
+}
+
+func (h *hosted) loseOwnership(now time.Duration) {
+	h.s.log.Info("lost ownership of partition", zap.String("partition", h.name), zap.Uint64("epoch", h.epoch))
+	h.epoch = 0
+	h.deferred = nil
+	h.do(now, h.core.Step(now, partition.LostOwnership{}))
+	for id, ch := range h.waiters {
+		ch <- StatusReply{Err: api.Errorf(api.CodeUnknownResult, "the partition's owner changed; ask again by key")}
+		delete(h.waiters, id)
+	}
+}
+
+// step feeds one event to the core, or keeps it until the lease is valid again.
+func (h *hosted) step(now time.Duration, ev partition.Event) {
+	if h.epoch == 0 {
+		return
+	}
+	if !h.group.leads(now) {
+		h.deferred = append(h.deferred, ev)
+		return
+	}
+	h.flushDeferred(now)
+	h.do(now, h.core.Step(now, ev))
+}
+
+func (h *hosted) flushDeferred(now time.Duration) {
+	events := h.deferred
+	h.deferred = nil
+	for _, ev := range events {
+		h.do(now, h.core.Step(now, ev))
+	}
+}
+
+// tick tells the core the time while this replica may act.
+func (h *hosted) tick(now time.Duration) {
+	if h.mayAct(now) {
+		h.step(now, partition.Tick{})
+	}
+}
+
+func (h *hosted) addWaiter(ch chan StatusReply) partition.WaiterID {
+	h.nextID++
+	h.waiters[h.nextID] = ch
+	return h.nextID
+}
+
+func (h *hosted) dropWaiter(now time.Duration, id partition.WaiterID) {
+	if _, ok := h.waiters[id]; ok {
+		delete(h.waiters, id)
+		h.step(now, partition.Forget{Waiter: id})
+	}
+}
+
+// do carries out the core's actions.
+func (h *hosted) do(now time.Duration, actions []partition.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case partition.Propose:
+			h.propose(now, a)
+		case partition.Reply:
+			h.reply(a)
+		case partition.SendSync:
+			h.s.workers.sync(h, a)
+		case partition.SendDispatch:
+			h.s.workers.dispatch(h, a)
+		case partition.SendRevoke:
+			h.s.workers.command(h, "/v1/revoke", a.Worker, a.URL, a.Command, true)
+		case partition.SendStop:
+			h.s.workers.command(h, "/v1/stop", a.Worker, a.URL, a.Command, false)
+		case partition.OwnershipDisputed:
+			h.s.log.Warn("a worker has seen a higher epoch; stepping down", zap.String("partition", h.name), zap.Uint64("epoch", h.epoch))
+			h.group.node.StepDown()
+		}
+	}
+}
+
+func (h *hosted) propose(now time.Duration, a partition.Propose) {
+	if _, _, err := h.group.node.Propose(now, a.Data); err != nil {
+		h.s.loop.post(func() { h.step(h.s.loop.now(), partition.ProposeFailed{Sequence: a.Sequence}) })
+	}
+}
+
+func (h *hosted) reply(a partition.Reply) {
+	ch, ok := h.waiters[a.Waiter]
+	if !ok {
+		return
+	}
+	delete(h.waiters, a.Waiter)
+	ch <- StatusReply{Status: a.Status, Err: a.Err}
+}
+
+func (h *hosted) status() api.PartitionStatus {
+	st := h.group.node.Status()
+	stats := h.core.Stats()
+	out := api.PartitionStatus{
+		Partition: h.name, Leader: vmOf(st.Leader), Epoch: st.Term,
+		Workers: stats.Scheduler.Workers, Queued: stats.Scheduler.Queued, Running: stats.Scheduler.Running,
+	}
+	for _, id := range st.Membership.Voters {
+		out.Replicas = append(out.Replicas, vmOf(id))
+	}
+	return out
+}
--- /dev/null
+++ b/server/http_caller.go
@@ -0,0 +1,196 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// handleSubmit serves POST /v1/requests.
+func (s *Server) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	var req api.SubmitRequest
+	if err := decodeJSON(r.Body, &req); err != nil {
+		err.NotRun = true
+		s.refuse(w, err)
+		return
+	}
+	if err := validateSubmit(&req); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	if err := s.checkServing(); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	v := s.view.Load()
+	route, pool, rerr := v.resolver.Resolve(req.Kind)
+	if rerr != nil {
+		rerr.NotRun = true
+		s.problems.unknownKind(req.Kind, req.Caller, v.resolver)
+		s.refuse(w, rerr)
+		return
+	}
+	if err := checkRouteClass(route, req.Class); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	wait := time.Duration(req.WaitMillis) * time.Millisecond
+	reply := s.submit(r.Context(), pool.Home, SubmitArgs{Partition: pool.Home, Request: req, Route: route, Region: s.settings.Region}, wait)
+	s.answer(w, reply)
+}
+
+// submit forwards the request and then waits for an outcome until wait is over.
+func (s *Server) submit(ctx context.Context, home string, args SubmitArgs, wait time.Duration) StatusReply {
+	end := time.Now().Add(wait)
+	args.Wait = min(wait, maxRPCWait)
+	reply := s.forward(ctx, home, servicePartition+".Submit", func() any { return args }, args.Wait)
+	key := api.RequestKey{Caller: args.Request.Caller, Key: args.Request.Key}
+	return s.awaitOutcome(ctx, home, key, reply, end)
+}
+
+// awaitOutcome asks again by key while the request has no outcome and time is left.
+func (s *Server) awaitOutcome(ctx context.Context, home string, key api.RequestKey, reply StatusReply, end time.Time) StatusReply {
+	for ctx.Err() == nil {
+		left := time.Until(end)
+		if left <= 0 || !isPending(reply) || s.drainEnds() {
+			return reply
+		}
+		args := KeyArgs{Partition: home, Key: key, Wait: min(left, s.waitChunk())}
+		next := s.forward(ctx, home, servicePartition+".Query", func() any { return args }, args.Wait)
+		if next.Err != nil && next.Err.Code != api.CodeUnavailable && next.Err.Code != api.CodeUnknownResult {
+			return next
+		}
+		if next.Err == nil {
+			reply = next
+			continue
+		}
+		// The owner cannot be reached just now; the request stays accepted.
+		sleep(ctx, min(left, forwardBackoff))
+	}
+	return reply
+}
+
+// drainMargin is how long before the end of the drain timeout a waiting caller is told
+// the present state, so that no call is cut off without an answer.
+const drainMargin = 3 * time.Second
+
+// drainEnds reports whether the drain timeout is nearly over.
+func (s *Server) drainEnds() bool {
+	started := s.drainStarted.Load()
+	return started != 0 && s.loop.now()-time.Duration(started) > s.settings.DrainTimeout-drainMargin
+}
+
+// waitChunk is how long one call between VMs waits for an outcome.
+func (s *Server) waitChunk() time.Duration {
+	if s.draining.Load() {
+		return callTimeout
+	}
+	return maxRPCWait
+}
+
+// isPending reports whether the request was accepted and has no outcome yet.
+func isPending(r StatusReply) bool {
+	return r.Err == nil && r.Status != nil && !r.Status.State.IsOutcome()
+}
+
+func checkRouteClass(route api.Route, class api.Class) *api.Error {
+	rank := map[api.Class]int{api.ClassUrgent: 0, api.ClassNormal: 1, api.ClassLow: 2}
+	if route.Class == "" || rank[class] >= rank[route.Class] {
+		return nil
+	}
+	return fieldError("class", "route %s allows at most class %s", route.Name, route.Class)
+}
+
+// handleOutcome serves GET /v1/requests/{caller}/{key}.
+func (s *Server) handleOutcome(w http.ResponseWriter, r *http.Request) {
+	s.handleKey(w, r, servicePartition+".Query")
+}
+
+// handleCancel serves DELETE /v1/requests/{caller}/{key}.
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	s.handleKey(w, r, servicePartition+".Cancel")
+}
+
+func (s *Server) handleKey(w http.ResponseWriter, r *http.Request, method string) {
+	key := api.RequestKey{Caller: r.PathValue("caller"), Key: r.PathValue("key")}
+	home, err := s.homeOf(r.URL.Query().Get("kind"))
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	wait, err := waitParameter(r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	end := time.Now().Add(wait)
+	args := KeyArgs{Partition: home, Key: key, Wait: min(wait, maxRPCWait)}
+	reply := s.forward(r.Context(), home, method, func() any { return args }, args.Wait)
+	s.answer(w, s.awaitOutcome(r.Context(), home, key, reply, end))
+}
+
+// homeOf returns the home partition of a kind. It needs no configuration lease: a
+// route's home never changes, and asking about accepted work starts nothing.
+func (s *Server) homeOf(kind string) (string, *api.Error) {
+	if kind == "" {
+		return "", fieldError("kind", "missing: add ?kind= with the kind of the request")
+	}
+	_, pool, err := s.view.Load().resolver.Resolve(kind)
+	if err != nil {
+		return "", err
+	}
+	return pool.Home, nil
+}
+
+func waitParameter(r *http.Request) (time.Duration, *api.Error) {
+	text := r.URL.Query().Get("wait_ms")
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 || ms > maxWaitMillis {
+		return 0, fieldError("wait_ms", "%q is no number from 0 to %d", text, maxWaitMillis)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// checkServing refuses new work while this VM is draining or does not know which
+// configuration is in force.
+func (s *Server) checkServing() *api.Error {
+	if s.mayServe(s.loop.now()) {
+		return nil
+	}
+	err := api.Errorf(api.CodeUnavailable, "this VM cannot tell which configuration is in force; nothing was accepted, try another VM")
+	if s.draining.Load() {
+		err.Message = "this VM is shutting down; nothing was accepted, try another VM"
+	}
+	err.NotRun = true
+	err.RetryAfterMillis = 1000
+	return err
+}
+
+// refuse answers with an error and counts it.
+func (s *Server) refuse(w http.ResponseWriter, err *api.Error) {
+	s.metrics.refused.WithLabelValues(string(err.Code)).Inc()
+	if err.RetryAfterMillis > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((err.RetryAfterMillis+999)/1000, 10))
+	}
+	writeError(w, err)
+}
+
+// answer writes a reply: 200 with an outcome, 202 while the request is pending.
+func (s *Server) answer(w http.ResponseWriter, reply StatusReply) {
+	if reply.Err != nil {
+		s.refuse(w, reply.Err)
+		return
+	}
+	status := http.StatusOK
+	if !reply.Status.State.IsOutcome() {
+		status = http.StatusAccepted
+	}
+	s.metrics.answered.WithLabelValues(string(reply.Status.State)).Inc()
+	writeJSON(w, status, reply.Status)
+}
--- /dev/null
+++ b/server/http_operator.go
@@ -0,0 +1,248 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// handleTables serves GET /v1/tables: the tables in force as this VM knows them.
+func (s *Server) handleTables(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.view.Load().tables)
+}
+
+// handleHistory serves GET /v1/history.
+func (s *Server) handleHistory(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.view.Load().history)
+}
+
+// handleCheck serves POST /v1/tables/check: the problems of tables not yet applied.
+func (s *Server) handleCheck(w http.ResponseWriter, r *http.Request) {
+	var next api.Tables
+	if err := decodeJSON(r.Body, &next); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	v := s.view.Load()
+	writeJSON(w, http.StatusOK, control.Check(v.tables, next, s.knownWorkers(r.Context()), v.partitionNames()))
+}
+
+// handleApply serves POST /v1/tables/apply.
+func (s *Server) handleApply(w http.ResponseWriter, r *http.Request) {
+	var req api.ApplyRequest
+	if err := decodeJSON(r.Body, &req); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	if err := validateName("change_id", req.ChangeID); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	reply := s.forwardApply(r.Context(), ApplyArgs{Request: req})
+	if reply.Err != nil {
+		s.refuse(w, reply.Err)
+		return
+	}
+	status := http.StatusOK
+	if !reply.Response.Accepted {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, reply.Response)
+}
+
+// forwardApply looks for the control leader. A change carries its id, so repeating a
+// call whose fate is uncertain returns the first answer.
+func (s *Server) forwardApply(ctx context.Context, args ApplyArgs) ApplyReply {
+	end := time.Now().Add(forwardFor)
+	uncertain := false
+	for time.Now().Before(end) && ctx.Err() == nil {
+		for _, vm := range s.controlCandidates() {
+			var reply ApplyReply
+			err := s.callVM(ctx, vm, serviceCluster+".Apply", args, &reply, applyTimeout+callTimeout)
+			uncertain = uncertain || isUncertain(err)
+			if err == nil && !reply.NotOwner {
+				s.hints.set(groupControl, vm)
+				return reply
+			}
+		}
+		sleep(ctx, forwardBackoff)
+	}
+	if uncertain {
+		return ApplyReply{Err: api.Errorf(api.CodeUnknownResult, "the control leader stopped answering; send the change again with the same change id")}
+	}
+	return ApplyReply{Err: api.Errorf(api.CodeUnavailable, "no control leader at the moment; the change was not accepted")}
+}
+
+// controlCandidates returns all VMs, the likely control leader first.
+func (s *Server) controlCandidates() []string {
+	out := []string{}
+	if leader := s.hints.get(groupControl); leader != "" {
+		out = append(out, leader)
+	}
+	for _, vm := range s.peerNames() {
+		if len(out) == 0 || vm != out[0] {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// handleProblems serves GET /v1/problems: the problems that any VM knows.
+func (s *Server) handleProblems(w http.ResponseWriter, r *http.Request) {
+	var mu sync.Mutex
+	var lists [][]api.Problem
+	s.askAll(r.Context(), func(ctx context.Context, vm string) {
+		var reply ProblemsReply
+		if s.callVM(ctx, vm, serviceCluster+".Problems", Empty{}, &reply, callTimeout) == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			lists = append(lists, reply.Problems)
+		}
+	})
+	v := s.view.Load()
+	tables := control.Check(api.Tables{}, v.tables, s.knownWorkers(r.Context()), v.partitionNames())
+	lists = append(lists, tables)
+	writeJSON(w, http.StatusOK, control.MergeProblems(lists...))
+}
+
+// handleStatus serves GET /v1/status: what is in force where, and who owns what.
+func (s *Server) handleStatus(w http.ResponseWriter, r *http.Request) {
+	var mu sync.Mutex
+	var out api.StatusResponse
+	s.askAll(r.Context(), func(ctx context.Context, vm string) {
+		var reply VMStatusReply
+		err := s.callVM(ctx, vm, serviceCluster+".Status", Empty{}, &reply, callTimeout)
+		if err != nil {
+			reply.Status = s.unreachableStatus(vm)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out.VMs = append(out.VMs, reply.Status)
+	})
+	sort.Slice(out.VMs, func(i, j int) bool { return out.VMs[i].VM < out.VMs[j].VM })
+	for _, name := range s.view.Load().partitionNames() {
+		_, status := s.workersOf(r.Context(), name)
+		out.Partitions = append(out.Partitions, status)
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Server) unreachableStatus(name string) api.VMStatus {
+	out := api.VMStatus{VM: name, Role: "unreachable"}
+	for _, vm := range s.view.Load().vms {
+		if vm.Name == name {
+			out.Region, out.FailureDomain = vm.Region, vm.FailureDomain
+		}
+	}
+	return out
+}
+
+// handleWorkers serves GET /v1/workers.
+func (s *Server) handleWorkers(w http.ResponseWriter, r *http.Request) {
+	out := []api.WorkerStatus{}
+	for _, name := range s.view.Load().partitionNames() {
+		workers, _ := s.workersOf(r.Context(), name)
+		out = append(out, workers...)
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+// workersOf asks the owner of a partition for its workers and its status.
+func (s *Server) workersOf(ctx context.Context, name string) ([]api.WorkerStatus, api.PartitionStatus) {
+	reply, ok := callOwner[WorkersReply](ctx, s, name, servicePartition+".Workers", KeyArgs{Partition: name})
+	if !ok {
+		return nil, api.PartitionStatus{Partition: name, Replicas: s.view.Load().partitions[name]}
+	}
+	return reply.Workers, reply.Status
+}
+
+// knownWorkers lists the workers of all partitions, for the checks of tables; nil if
+// any owner did not answer, since the checks then know nothing about workers.
+func (s *Server) knownWorkers(ctx context.Context) []control.WorkerInfo {
+	out := []control.WorkerInfo{}
+	for _, name := range s.view.Load().partitionNames() {
+		workers, status := s.workersOf(ctx, name)
+		if status.Leader == "" {
+			return nil
+		}
+		for _, w := range workers {
+			out = append(out, control.WorkerInfo{Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity})
+		}
+	}
+	return out
+}
+
+// handleExplain serves GET /v1/explain?caller=&key=&kind=.
+func (s *Server) handleExplain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	home, err := s.homeOf(q.Get("kind"))
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	args := KeyArgs{Partition: home, Key: api.RequestKey{Caller: q.Get("caller"), Key: q.Get("key")}}
+	reply, ok := callOwner[ExplainReply](r.Context(), s, home, servicePartition+".Explain", args)
+	if !ok {
+		s.refuse(w, api.Errorf(api.CodeUnavailable, "partition %s has no owner at the moment", home))
+		return
+	}
+	writeJSON(w, http.StatusOK, reply.Explanation)
+}
+
+// askAll runs fn for every known VM at once and waits for all.
+func (s *Server) askAll(ctx context.Context, fn func(ctx context.Context, vm string)) {
+	var g errgroup.Group
+	for _, vm := range s.peerNames() {
+		g.Go(func() error { fn(ctx, vm); return nil })
+	}
+	_ = g.Wait()
+}
+
+// ownerAnswer is a reply that says whether the asked VM is the owner.
+type ownerAnswer interface{ owner() OwnerReply }
+
+// callOwner asks the candidates for the owner of a partition once each, following
+// hints, and reports whether the owner answered. Each call gets a fresh reply, since gob
+// leaves fields alone that are zero in the answer.
+func callOwner[R ownerAnswer](ctx context.Context, s *Server, home, method string, args any) (R, bool) {
+	candidates := s.leaderCandidates(s.view.Load(), home)
+	tried := map[string]bool{}
+	for len(candidates) > 0 {
+		vm := candidates[0]
+		candidates = candidates[1:]
+		if tried[vm] {
+			continue
+		}
+		tried[vm] = true
+		var reply R
+		if err := s.callVM(ctx, vm, method, args, &reply, callTimeout); err != nil {
+			s.hints.set(home, "")
+			continue
+		}
+		if !reply.owner().NotOwner {
+			s.hints.set(home, vm)
+			return reply, true
+		}
+		if leader := reply.owner().Leader; leader != "" {
+			candidates = append([]string{leader}, candidates...)
+		}
+	}
+	var none R
+	return none, false
+}
+
+func (v *view) partitionNames() []string {
+	names := make([]string, 0, len(v.partitions))
+	for name := range v.partitions {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/server/peers.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/transport"
+)
+
+// peerSet holds the connections to the other VMs, and to this one, so that a call to an
+// owner takes the same path wherever the owner is. It is safe for concurrent use.
+type peerSet struct {
+	s  *Server
+	mu sync.Mutex
+	// links is guarded by mu; a link is replaced when the VM's address changes.
+	links  map[string]*link
+	closed bool
+}
+
+// link is what this VM keeps for one other VM.
+type link struct {
+	address string
+	peer    *transport.Peer
+	raft    *transport.RaftSender
+}
+
+func newPeerSet(s *Server) *peerSet { return &peerSet{s: s, links: map[string]*link{}} }
+
+// get returns the link to a VM, or nil if its address is not known.
+func (p *peerSet) get(vm string) *link {
+	address := p.s.view.Load().addresses[vm]
+	if address == "" {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.links[vm]
+	if old != nil && old.address == address {
+		return old
+	}
+	if p.closed {
+		return nil
+	}
+	if old != nil {
+		go old.close()
+	}
+	peer := transport.NewPeer(address, transport.PeerOptions{BulkTimeout: maxRPCWait + waiterGrace + callTimeout})
+	l := &link{address: address, peer: peer, raft: transport.NewRaftSender(peer, 0)}
+	p.links[vm] = l
+	return l
+}
+
+func (l *link) close() {
+	l.raft.Close()
+	l.peer.Close()
+}
+
+func (p *peerSet) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, l := range p.links {
+		l.close()
+	}
+}
+
+// sendRaft queues a message for another VM; messages may be lost.
+func (p *peerSet) sendRaft(m raft.Message) {
+	if l := p.get(vmOf(m.To)); l != nil {
+		l.raft.Send(m)
+	}
+}
+
+// serve accepts calls from the other VMs until ctx ends.
+func (p *peerSet) serve(ctx context.Context, listener net.Listener) error {
+	server := transport.NewServer(listener, transport.ServerOptions{MaxConns: p.s.settings.MaxConnections})
+	registrations := []error{
+		server.Register(serviceCluster, &clusterService{p.s}),
+		server.Register(servicePartition, &partitionService{p.s}),
+		transport.RegisterRaft(server, p.s.deliver),
+	}
+	for _, err := range registrations {
+		if err != nil {
+			return err
+		}
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		shutdown, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := server.Shutdown(shutdown); err != nil {
+			p.s.log.Debug("calls between VMs were cut at shutdown", zap.Error(err))
+		}
+	}()
+	err := server.Serve()
+	<-stopped
+	return err
+}
+
+// deliver hands raft messages to the nodes they are for.
+func (s *Server) deliver(messages []raft.Message) {
+	s.loop.post(func() {
+		now := s.loop.now()
+		for _, m := range messages {
+			if g := s.groupNamed(m.Group); g != nil {
+				g.node.Step(now, m)
+			}
+		}
+	})
+}
+
+func (s *Server) groupNamed(name string) *group {
+	if s.control == nil {
+		return nil
+	}
+	for _, g := range s.groups() {
+		if g.name == name {
+			return g
+		}
+	}
+	return nil
+}
+
+// errNoAddress means that the address of a VM is not known, so nothing was sent.
+var errNoAddress = errors.Wrap(transport.ErrNotSent, "no address of the VM")
+
+// callVM calls a method of another VM, or of this one. Long waits and bodies go on the
+// bulk lane, so that they do not delay short calls.
+func (s *Server) callVM(ctx context.Context, vm, method string, args, reply any, timeout time.Duration) error {
+	l := s.peers.get(vm)
+	if l == nil {
+		return errNoAddress
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if timeout > callTimeout {
+		return l.peer.CallBulk(ctx, method, args, reply)
+	}
+	return l.peer.Call(ctx, method, args, reply)
+}
+
+// isUncertain reports whether a failed call may have been executed.
+func isUncertain(err error) bool { return err != nil && transport.MayHaveRun(err) }
+
+// peerNames returns every VM that this one knows, itself included, sorted.
+func (s *Server) peerNames() []string {
+	addresses := s.view.Load().addresses
+	names := make([]string, 0, len(addresses))
+	for vm := range addresses {
+		names = append(names, vm)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/server/problems.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// problemKeeper collects the problems that this VM meets. It is safe for concurrent use.
+type problemKeeper struct {
+	mu  sync.Mutex
+	log *control.ProblemLog // guarded by mu
+	out *zap.Logger
+}
+
+func newProblemKeeper(out *zap.Logger) *problemKeeper {
+	return &problemKeeper{log: control.NewProblemLog(0), out: out}
+}
+
+func unixMillis() int64 { return time.Now().UnixMilli() }
+
+// unknownKind notes a kind without a route.
+func (p *problemKeeper) unknownKind(kind, caller string, r *control.Resolver) {
+	p.out.Warn("no route serves the kind", zap.String("kind", kind), zap.String("caller", caller), zap.String("nearest", r.NearestRoute(kind)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.UnknownKind(unixMillis(), kind, caller, r)
+}
+
+// unknownPool notes a worker that announces a pool that does not exist.
+func (p *problemKeeper) unknownPool(worker, pool string, r *control.Resolver) {
+	p.out.Warn("worker announces an unknown pool", zap.String("worker", worker), zap.String("pool", pool), zap.String("nearest", r.NearestPool(pool)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.UnknownPool(unixMillis(), worker, pool, r)
+}
+
+// workerMatched drops a worker from the unknown pools.
+func (p *problemKeeper) workerMatched(worker string, r *control.Resolver) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.WorkerMoved(worker, r)
+}
+
+// setTables replaces the problems of the tables in force.
+func (p *problemKeeper) setTables(problems []api.Problem, r *control.Resolver) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.SetTables(unixMillis(), problems)
+	p.log.Refresh(unixMillis(), r)
+}
+
+// refresh drops what the tables have resolved and what was not seen for a while.
+func (p *problemKeeper) refresh(r *control.Resolver) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.Refresh(unixMillis(), r)
+}
+
+func (p *problemKeeper) list() []api.Problem {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.List()
+}
+
+// problemInterval is how often resolved problems are dropped and the metric is set. A
+// problem has to appear within a second.
+const problemInterval = 500 * time.Millisecond
+
+// watchProblems keeps the problem log and its metric current.
+func (s *Server) watchProblems(ctx context.Context) {
+	ticker := time.NewTicker(problemInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.problems.refresh(s.view.Load().resolver)
+		s.metrics.problems.Reset()
+		for _, p := range s.problems.list() {
+			s.metrics.problems.WithLabelValues(p.Kind).Inc()
+		}
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,310 @@
+// Package server is the daemon of an entry VM. One control goroutine owns the raft
+// nodes, the control state and the partition cores; HTTP handlers, calls between VMs,
+// calls to workers and disk writes run on other goroutines and exchange events with it.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderchute/oleanderchute/control"
+	"github.com/oleanderchute/oleanderchute/partition"
+	"github.com/oleanderchute/oleanderchute/placement"
+	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/storage"
+)
+
+// Server is one VM's daemon.
+type Server struct {
+	settings Settings
+	log      *zap.Logger
+	loop     *loop
+	self     control.VM
+	peers    *peerSet
+	workers  *workerCalls
+	hints    *leaderHints
+	problems *problemKeeper
+	metrics  *metrics
+
+	view        atomic.Pointer[view]
+	confirmedAt atomic.Int64 // time.Duration since the loop's origin
+	draining    atomic.Bool
+	// drainStarted is the loop's time at which draining began; 0 before.
+	drainStarted atomic.Int64
+
+	// The fields below are owned by the control goroutine.
+	control       *controlHost
+	partitions    map[string]*hosted
+	changed       bool
+	nextReconcile time.Duration
+}
+
+// New prepares the daemon: it checks the settings and loads the identity of the VM.
+func New(settings Settings, log *zap.Logger) (*Server, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	log = log.With(zap.String("vm", settings.VM), zap.String("failure_domain", settings.FailureDomain))
+	l := newLoop()
+	s := &Server{
+		settings: settings, log: log, loop: l,
+		workers: newWorkerCalls(l), hints: newLeaderHints(), problems: newProblemKeeper(log),
+		partitions: map[string]*hosted{},
+	}
+	id, err := loadIdentity(settings)
+	if err != nil {
+		return nil, err
+	}
+	s.self = control.VM{
+		Name: settings.VM, Node: string(id), Region: settings.Region, FailureDomain: settings.FailureDomain,
+		HasDisk: settings.DataDir != "", PeerAddress: settings.PeerAddress, HTTPAddress: settings.HTTPAddress,
+	}
+	s.metrics = newMetrics(s)
+	s.view.Store(s.buildView(control.New()))
+	s.peers = newPeerSet(s)
+	return s, nil
+}
+
+func loadIdentity(settings Settings) (raft.NodeID, error) {
+	if settings.DataDir == "" {
+		return storage.EphemeralIdentity(settings.VM)
+	}
+	return storage.LoadIdentity(settings.DataDir, settings.VM)
+}
+
+// Run serves until ctx ends, then drains and returns. It returns early with an error
+// when a listener cannot be opened or the data folder cannot be read.
+func (s *Server) Run(ctx context.Context) error {
+	httpListener, err := net.Listen("tcp", s.settings.HTTPAddress)
+	if err != nil {
+		return errors.Wrapf(err, "--http-address=%s cannot be used", s.settings.HTTPAddress)
+	}
+	peerListener, err := net.Listen("tcp", s.settings.PeerAddress)
+	if err != nil {
+		httpListener.Close()
+		return errors.Wrapf(err, "--peer-address=%s cannot be used", s.settings.PeerAddress)
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	web := s.newHTTPServer()
+	g.Go(func() error { return s.peers.serve(work, peerListener) })
+	g.Go(func() error { return serveHTTP(web, httpListener) })
+	g.Go(func() error { s.loop.run(work, s.step); return nil })
+	g.Go(func() error { return s.start(work) })
+	g.Go(func() error { s.watchProblems(work); return nil })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			s.drain(web)
+		case <-work.Done():
+		}
+		stop()
+		return errors.WithStack(web.Close())
+	})
+	err = g.Wait()
+	s.closeGroups()
+	s.peers.close()
+	return err
+}
+
+func serveHTTP(web *http.Server, l net.Listener) error {
+	if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
+
+// start opens the control group, as the first voter or as a joiner, and keeps this VM
+// registered.
+func (s *Server) start(ctx context.Context) error {
+	st, rec, err := s.openStore(groupControl)
+	if err != nil {
+		return err
+	}
+	cfg := s.raftConfig(groupControl)
+	if isFirstStart(rec) && s.settings.Bootstrap {
+		switch err := s.awaitBootstrap(ctx); {
+		case errors.Is(err, errClusterExists):
+			s.log.Info("a cluster exists; joining it instead of creating one")
+		case err != nil:
+			return nil //nolint:nilerr // the context has ended: a normal shutdown
+		default:
+			cfg.Voters = []raft.NodeID{s.nodeID()}
+		}
+	}
+	if err := s.loop.call(ctx, func() { s.openControl(cfg, st, rec) }); err != nil {
+		return nil //nolint:nilerr // the loop has stopped: a normal shutdown
+	}
+	s.keepJoined(ctx)
+	return nil
+}
+
+func isFirstStart(rec raft.Recovered) bool {
+	return rec.HardState == (raft.HardState{}) && rec.Snapshot.Index == 0 && len(rec.Entries) == 0
+}
+
+func (s *Server) openStore(name string) (store, raft.Recovered, error) {
+	if s.settings.DataDir == "" {
+		return storage.NewMemory(), raft.Recovered{}, nil
+	}
+	return storage.OpenGroup(filepath.Clean(s.settings.DataDir), name, storage.Options{})
+}
+
+func (s *Server) raftConfig(name string) raft.Config {
+	return raft.Config{ID: s.nodeID(), Group: name, Observer: s.settings.DataDir == "", Seed: seedOf(string(s.nodeID()) + name)}
+}
+
+func (s *Server) openControl(cfg raft.Config, st store, rec raft.Recovered) {
+	host := &controlHost{s: s, state: control.New(), waiting: map[uint64]proposal{}}
+	s.control = host
+	host.group = s.openGroup(cfg, st, rec, host)
+}
+
+// openGroup starts a raft node with what its store held.
+func (s *Server) openGroup(cfg raft.Config, st store, rec raft.Recovered, m stateMachine) *group {
+	node := raft.New(cfg, rec, s.loop.now())
+	g := newGroup(cfg.Group, node, st, m, s.loop, s.peers.sendRaft, s.log)
+	if rec.Snapshot.Index > 0 {
+		g.restore(rec.Snapshot)
+	}
+	return g
+}
+
+// step runs on the control goroutine after each batch of events and on each tick.
+func (s *Server) step(now time.Duration) {
+	if s.control == nil {
+		return
+	}
+	for _, g := range s.groups() {
+		g.node.Tick(now)
+		g.pump(now)
+	}
+	s.publishConfirmation()
+	if s.changed {
+		s.changed = false
+		s.view.Store(s.buildView(s.control.state))
+		s.hostPartitions(now)
+	}
+	for _, h := range s.partitions {
+		h.updateOwnership(now)
+		h.tick(now)
+		h.group.pump(now)
+	}
+	if now >= s.nextReconcile {
+		s.nextReconcile = now + reconcileInterval
+		s.control.manage(now)
+		s.reconcilePartitions(now)
+	}
+}
+
+func (s *Server) groups() []*group {
+	out := []*group{s.control.group}
+	for _, h := range s.partitions {
+		out = append(out, h.group)
+	}
+	return out
+}
+
+// hostPartitions opens the partition groups that this VM is a replica of.
+func (s *Server) hostPartitions(now time.Duration) {
+	for _, p := range s.control.state.Partitions() {
+		if s.partitions[p.Name] == nil && isReplica(p, s.self) {
+			if err := s.hostPartition(p); err != nil {
+				s.log.Error("partition cannot be opened", zap.String("partition", p.Name), zap.Error(err))
+			}
+		}
+	}
+}
+
+func isReplica(p control.Partition, vm control.VM) bool {
+	for _, r := range p.Replicas {
+		if r.Node == vm.Node {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) hostPartition(p control.Partition) error {
+	name := groupOfPartition(p.Name)
+	st, rec, err := s.openStore(name)
+	if err != nil {
+		return err
+	}
+	cfg := s.raftConfig(name)
+	if isFirstStart(rec) {
+		cfg.Voters = initialVoters(p, s.self)
+	}
+	if s.settings.Region != p.Name {
+		cfg.ElectionDelay = foreignElectionDelay
+	}
+	h := &hosted{s: s, name: p.Name, waiters: map[partition.WaiterID]chan StatusReply{}}
+	h.core = partition.New(partition.Config{Name: p.Name, Seed: cfg.Seed}, func() partition.Scheduler {
+		return placement.New(placement.Config{Seed: cfg.Seed, LocalRegion: p.Name})
+	})
+	h.group = s.openGroup(cfg, st, rec, h)
+	s.partitions[p.Name] = h
+	return nil
+}
+
+// foreignElectionDelay makes replicas outside the home region stand later, so that the
+// owner normally sits beside its workers.
+const foreignElectionDelay = 700 * time.Millisecond
+
+// initialVoters returns the first members of a partition group if this VM is one of
+// them; a later replica starts empty and learns the members from the leader.
+func initialVoters(p control.Partition, self control.VM) []raft.NodeID {
+	var out []raft.NodeID
+	mine := false
+	for _, r := range p.Initial {
+		out = append(out, raft.NodeID(r.Node))
+		mine = mine || r.Node == self.Node
+	}
+	if !mine {
+		return nil
+	}
+	return out
+}
+
+// reconcilePartitions brings the members of each partition that this VM leads to what
+// the control state assigns.
+func (s *Server) reconcilePartitions(now time.Duration) {
+	for _, p := range s.control.state.Partitions() {
+		h := s.partitions[p.Name]
+		if h == nil {
+			continue
+		}
+		var want wantedMembers
+		for _, r := range p.Replicas {
+			want.voters = append(want.voters, raft.NodeID(r.Node))
+		}
+		h.group.reconcile(now, want)
+	}
+}
+
+// tablesChanged tells the partitions and checks the new tables.
+func (s *Server) tablesChanged(now time.Duration) {
+	tables := s.control.state.Tables()
+	for _, h := range s.partitions {
+		h.step(now, partition.TablesChanged{Tables: tables})
+	}
+	s.problems.setTables(s.control.state.Check(tables, nil), s.control.state.Resolver())
+}
+
+func (s *Server) closeGroups() {
+	if s.control == nil {
+		return
+	}
+	for _, g := range s.groups() {
+		g.stop()
+	}
+}
