server, demo: drain of a named VM; demo with separate processes

Cause: operators drain a VM by name, and the path from caller to worker must be visible with one command. Change: POST /v1/drain?vm=; demo/ starts three daemons and four stand-in workers.

--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,208 @@
+// Command demo runs a small cluster of separate processes on loopback: three daemons in
+// three failure domains and two regions, four stand-in workers and one caller. It prints
+// each request with its outcome and the problems found for misspelled names, and ends.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// demoTimeout bounds the whole run.
+const demoTimeout = 55 * time.Second
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the programs oleanderchute and standin-worker")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	if err := run(ctx, *bin); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, bin string) error {
+	dir, err := os.MkdirTemp("", "oleanderchute-demo-")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer os.RemoveAll(dir)
+	procs := &processes{bin: bin, dir: dir}
+	defer procs.stop()
+	addresses, err := startDaemons(procs)
+	if err != nil {
+		return err
+	}
+	c, err := client.New(addresses, client.Options{})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	fmt.Println("three daemons started; waiting for the cluster to form")
+	if err := awaitCluster(ctx, c); err != nil {
+		return err
+	}
+	if err := applyTables(ctx, c); err != nil {
+		return err
+	}
+	if err := startWorkers(procs, addresses); err != nil {
+		return err
+	}
+	if err := awaitWorkers(ctx, c); err != nil {
+		return err
+	}
+	printRequests(ctx, c)
+	return printProblems(ctx, c)
+}
+
+func awaitCluster(ctx context.Context, c *client.Client) error {
+	return await(ctx, "three VMs that may serve, and two partitions", func() bool {
+		st, err := c.Status(ctx)
+		if err != nil || len(st.VMs) != 3 || len(st.Partitions) != 2 {
+			return false
+		}
+		for _, vm := range st.VMs {
+			if !vm.MayServe {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func applyTables(ctx context.Context, c *client.Client) error {
+	tables := api.Tables{
+		Routes: []api.Route{
+			{Name: "draft-guarantee", Pool: "drafters", Aliases: []string{"draft-garantee"}},
+			{Name: "timing-plan", Pool: "planners"},
+		},
+		Pools: []api.Pool{{Name: "drafters", Home: "north"}, {Name: "planners", Home: "south"}},
+	}
+	answer, err := c.Apply(ctx, api.ApplyRequest{Operator: "demo", Tables: tables})
+	if err != nil {
+		return err
+	}
+	if !answer.Accepted {
+		return errors.Errorf("the tables were refused: %s %v", answer.Reason, answer.Problems)
+	}
+	fmt.Printf("tables version %d accepted\n", answer.Version)
+	return nil
+}
+
+// misspelledWorker announces a pool that does not exist.
+const misspelledWorker = "w4"
+
+func awaitWorkers(ctx context.Context, c *client.Client) error {
+	return await(ctx, "three workers that are ready", func() bool {
+		workers, err := c.Workers(ctx)
+		ready := 0
+		for _, w := range workers {
+			if w.State == "ready" {
+				ready++
+			}
+		}
+		return err == nil && ready == 3
+	})
+}
+
+func await(ctx context.Context, what string, condition func() bool) error {
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("not in time: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// requests shows each outcome that a caller may see.
+func requests() []api.SubmitRequest {
+	size := api.Resources{MilliCPU: 1000, MemoryMB: 512}
+	plain := func(key, kind, body string) api.SubmitRequest {
+		return api.SubmitRequest{Caller: "tenders", Key: key, Kind: kind, Resources: size, Body: []byte(body), WaitMillis: 5000}
+	}
+	issue := plain("g-2", "draft-guarantee", `{"run_ms":100,"answer":"guarantee 2"}`)
+	issue.NonIdempotent = true
+	huge := plain("g-5", "draft-guarantee", "")
+	huge.Resources.MilliCPU = 500_000
+	return []api.SubmitRequest{
+		plain("g-1", "draft-guarantee", `{"run_ms":100,"answer":"draft 1"}`),
+		issue,
+		issue, // a resend: joins the first execution
+		plain("g-3", "draft-garantee", `{"answer":"draft 3, by an accepted alias"}`),
+		plain("p-1", "timing-plan", `{"run_ms":50,"answer":"plan 1"}`),
+		plain("p-2", "timing-plan", `{"fail":true}`),
+		plain("g-4", "draft-guarante", ""),
+		huge,
+		plain("g-1", "draft-guarantee", `{"answer":"another body"}`),
+	}
+}
+
+func printRequests(ctx context.Context, c *client.Client) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nKEY\tKIND\tOUTCOME\tWORKER\tTIME\tANSWER OR REASON")
+	for _, r := range requests() {
+		start := time.Now()
+		st, err := c.Submit(ctx, r)
+		took := time.Since(start).Round(time.Millisecond)
+		if err != nil {
+			fmt.Fprintf(w, "%s\t%s\trefused\t-\t%s\t%v\n", r.Key, r.Kind, took, err)
+			continue
+		}
+		text := string(st.Answer)
+		if st.State != api.StateDone {
+			text = st.Reason
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Key, r.Kind, st.State, st.Worker, took, text)
+	}
+	w.Flush()
+}
+
+func printProblems(ctx context.Context, c *client.Client) error {
+	problems, err := c.Problems(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Println("\nproblems:")
+	for _, p := range problems {
+		fmt.Printf("  %s %q: %s\n    %s\n", p.Kind, p.Subject, p.Message, p.Remedy)
+	}
+	return nil
+}
+
+func startWorkers(procs *processes, addresses []string) error {
+	workers := []struct{ name, pool, region, domain string }{
+		{"w1", "drafters", "north", "n1"},
+		{"w2", "drafters", "north", "n2"},
+		{"w3", "planners", "south", "s1"},
+		{misspelledWorker, "planers", "south", "s1"},
+	}
+	for _, w := range workers {
+		args := []string{
+			"--worker=" + w.name, "--pool=" + w.pool, "--region=" + w.region, "--failure-domain=" + w.domain,
+			"--rack=r1", "--journal=" + filepath.Join(procs.dir, w.name+".journal"),
+		}
+		for _, a := range addresses {
+			args = append(args, "--entry=http://"+a)
+		}
+		if err := procs.start("standin-worker", w.name, args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/server/cluster.go
+++ b/server/cluster.go
@@ -97,6 +97,12 @@
 	return c.s.callLoop(func() { reply.Status = c.s.vmStatus() })
 }
 
+// Drain makes this VM take no new work.
+func (c *clusterService) Drain(_ Empty, _ *Empty) error {
+	c.s.beginDrain()
+	return nil
+}
+
 // callLoop runs fn on the control goroutine with the deadline of a call.
 func (s *Server) callLoop(fn func()) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/server/http.go
+++ b/server/http.go
@@ -104,9 +104,21 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// handleDrain starts a graceful shutdown of taking new work; the process goes on.
-func (s *Server) handleDrain(w http.ResponseWriter, _ *http.Request) {
-	s.beginDrain()
+// handleDrain serves POST /v1/drain?vm=: the VM, or this one without a name, takes no new
+// work from now on and hands its groups over. The process goes on.
+func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
+	vm := r.URL.Query().Get("vm")
+	if vm == "" {
+		vm = s.settings.VM
+	}
+	if err := s.callVM(r.Context(), vm, serviceCluster+".Drain", Empty{}, &Empty{}, callTimeout); err != nil {
+		code := api.CodeUnavailable
+		if isUncertain(err) {
+			code = api.CodeUnknownResult
+		}
+		s.refuse(w, api.Errorf(code, "VM %s did not confirm the drain: %v", vm, err))
+		return
+	}
 	w.WriteHeader(http.StatusAccepted)
 }
 
