raft: recover with strangers' knowledge; promote only aware learners

Change: a recovering node sends a hello to any sender that it does not know and takes the membership from every answer; an answer to an outdated hello shows the newer start; a promotion requires the newest membership on the learner.

--- a/raft/membership.go
+++ b/raft/membership.go
@@ -168,7 +168,8 @@
 }
 
 // promotable checks that the learner holds what was committed one or two heartbeats
-// ago and answered within the election timeout.
+// ago and answered within the election timeout. It must hold the newest membership too:
+// a node that does not know that it is a member answers no vote request.
 func (n *Node) promotable(id NodeID) error {
 	p := n.progress[id]
 	if p == nil {
@@ -177,7 +178,7 @@
 	if p.observer {
 		return ErrObserver
 	}
-	if p.echo == 0 || n.now-p.echo > n.cfg.ElectionTimeout || p.match < n.commitMarks[0] {
+	if p.echo == 0 || n.now-p.echo > n.cfg.ElectionTimeout || p.match < max(n.commitMarks[0], n.changeIndex()) {
 		return ErrNotCaughtUp
 	}
 	return nil
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -88,9 +88,10 @@
 	return n.peers.quorum()
 }
 
-// askStranger sends a hello to a leader that this disk does not know as a voter.
+// askStranger sends a hello to a leader or candidate that this disk does not know as a
+// voter: the membership may have changed.
 func (n *Node) askStranger(m Message) {
-	if m.Kind == MsgAppend && !n.peers.IsVoter(m.From) && !n.answered[m.From] {
+	if !n.peers.IsVoter(m.From) && !n.answered[m.From] {
 		n.send(Message{Kind: MsgHello, To: m.From})
 	}
 }
@@ -100,16 +101,22 @@
 	if n.membership.IsMember(m.From) {
 		n.started[m.From] = max(n.started[m.From], m.Starts)
 	}
-	if n.isMember() {
-		n.sendFacts(m.From, m.Starts)
+	starts := m.Starts
+	if !n.isMember() {
+		starts = 0 // a removed member may reveal a loss, but its answer does not count
 	}
+	n.sendFacts(m.From, starts)
 }
 
-// sendFacts sends what is known of a member; starts is that of its hello, 0 if it did
-// not ask.
+// sendFacts sends what is known of a member; starts is that of its hello, 0 if the
+// message does not count as an answer.
 func (n *Node) sendFacts(to NodeID, starts uint64) {
 	f := n.facts[to]
 	f.ID = to
+	if n.started[to] > starts {
+		// A newer hello has arrived: this one is late, or the disk lost even that start.
+		f.Starts = max(f.Starts, n.started[to])
+	}
 	if n.hs.Vote == to {
 		f = f.merge(MemberFact{Term: n.hs.Term, Vote: to})
 	}
@@ -120,28 +127,31 @@
 
 func (n *Node) onHelloResponse(m Message) {
 	for _, f := range m.Facts {
-		if f.ID == n.cfg.ID && n.contradicts(f) {
+		if f.ID == n.cfg.ID && n.contradicts(f, m.Hint == n.hs.Starts) {
 			n.forget()
 			return
 		}
 	}
-	if n.answered == nil || m.Hint != n.hs.Starts {
+	if n.answered == nil {
 		return
 	}
-	n.answered[m.From] = true
 	if m.Membership != nil && m.Index > n.peersIndex {
 		n.peers, n.peersIndex = *m.Membership, m.Index
 	}
+	if m.Hint != n.hs.Starts {
+		return
+	}
+	n.answered[m.From] = true
 	if n.role == RoleRecovering {
 		n.finishRecovery()
 	}
 }
 
 // contradicts reports whether f shows a state that this disk should hold and does not.
-// While recovering, nothing but hellos was sent in this start, so a fact of the same
-// Starts stems from an earlier life of this identity.
-func (n *Node) contradicts(f MemberFact) bool {
-	if f.Starts > n.hs.Starts || f.Starts == n.hs.Starts && n.role == RoleRecovering {
+// A node that recovers has sent nothing but hellos in this start, so the same Starts in
+// the answer to such a hello stems from an earlier life of this identity.
+func (n *Node) contradicts(f MemberFact, answer bool) bool {
+	if f.Starts > n.hs.Starts || f.Starts == n.hs.Starts && answer && n.role == RoleRecovering {
 		return true
 	}
 	if f.Term != n.hs.Term {
