placement: keep room that large work leaves for the next large work

In a flood small work took every hole at once and large work of other teams waited for another worker to be emptied.

--- a/bench/drive.go
+++ b/bench/drive.go
@@ -16,6 +16,8 @@
 	// usageDelay is when after its start the use of a task is reported.
 	usageDelay  = time.Second
 	maxAttempts = 5
+	// tick is the longest time between decisions while work is queued.
+	tick = 20 * time.Millisecond
 )
 
 // event is a cancel, a usage report or the end of a job.
@@ -84,6 +86,8 @@
 	sequence int
 	use      *useMeter
 	timing   timing
+	queued   int
+	tick     time.Duration // of the next decision without an event
 }
 
 // Run feeds the workload to the policy and returns what was measured.
@@ -106,6 +110,7 @@
 			d.handle(now, heap.Pop(&d.events).(event))
 		}
 		d.decide(now)
+		d.tick = now + tick
 	}
 	d.use.advance(w.End)
 	return d.result()
@@ -120,6 +125,9 @@
 	if len(d.events) > 0 && (!ok || d.events[0].at < at) {
 		at, ok = d.events[0].at, true
 	}
+	if d.queued > 0 && (!ok || d.tick < at) {
+		at, ok = d.tick, true
+	}
 	return (at + time.Millisecond - 1).Truncate(time.Millisecond), ok
 }
 
@@ -139,6 +147,7 @@
 		return
 	}
 	d.timing.measure(func() { d.policy.Enqueue(now, a.Item) })
+	d.queued++
 	if a.CancelAt > 0 {
 		d.schedule(a.CancelAt, eventCancel, j)
 	}
@@ -151,6 +160,7 @@
 		d.timing.measure(func() {
 			if d.policy.Cancel(j.arrival.Item.Key) {
 				j.state = phaseCanceled
+				d.queued--
 			}
 		})
 	case eventUsage:
@@ -183,6 +193,7 @@
 		j.state = phaseFailed
 	default:
 		j.state = phaseQueued
+		d.queued++
 		d.timing.measure(func() { d.policy.Enqueue(now, *item) })
 	}
 }
@@ -190,8 +201,12 @@
 func (d *driver) decide(now time.Duration) {
 	for {
 		var decision placement.Decision
-		d.timing.decision(func() { decision = d.policy.Decide(now, decideMax) })
+		spent := d.timing.measure(func() { decision = d.policy.Decide(now, decideMax) })
+		if len(decision.Placements) > 0 {
+			d.timing.decisions = append(d.timing.decisions, spent)
+		}
 		d.timing.placements += len(decision.Placements)
+		d.queued -= len(decision.Placements) + len(decision.Expired)
 		for _, x := range decision.Expired {
 			d.jobs[x.Key].state = phaseExpired
 		}
--- a/placement/account.go
+++ b/placement/account.go
@@ -21,6 +21,8 @@
 	placeable bool
 	headroom  bool // kept for urgent work within its share
 	hold      *hold
+	kept      bool // for large work, until keptUntil
+	keptUntil time.Duration
 	health    *health
 }
 
@@ -61,7 +63,7 @@
 // offered is the amount that w offers to all work through the index. Workers that are
 // kept for some work are offered by other means.
 func (w *worker) offered() vector {
-	if !w.isOpen() || w.headroom || w.hold != nil || w.health.onProbation {
+	if !w.isOpen() || w.headroom || w.kept || w.hold != nil || w.health.onProbation {
 		return nothing
 	}
 	return w.freeAmount()
@@ -138,6 +140,9 @@
 	w := r.worker
 	if w.pool != nil {
 		w.pool.regionOf(w.Region).noteRelease(now)
+		if w.pool.isLarge(r.job.item, r.job.demand) {
+			w.pool.keep(now, w)
+		}
 	}
 	w.refreshFreed()
 	if r.job.live == 0 {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -35,6 +35,7 @@
 func (p *pool) decide(now time.Duration, max int, d *Decision) {
 	p.renewTrials(now)
 	p.renewHolds(now)
+	p.renewKept(now)
 	if len(d.Placements) >= max || !p.isAwake && p.retryAt > now {
 		return
 	}
@@ -145,12 +146,18 @@
 
 // block keeps the lane of e from being tried until room is freed or retryAt comes.
 func (p *pool) block(now time.Duration, e *entry, retryAt time.Duration) {
+	if e.blockedSince < 0 {
+		e.blockedSince = now
+	}
+	if at := p.keptRetry(now, e); at > 0 && (retryAt == 0 || at < retryAt) {
+		retryAt = at
+	}
 	e.lane.blocked, e.lane.retryAt = true, retryAt
 	if retryAt > 0 {
 		p.retryAt = min(p.retryAt, retryAt)
 	}
-	if e.blockedSince < 0 {
-		e.blockedSince = now
+	if p.isLarge(e.item, e.demand) {
+		p.passedByAt = now
 	}
 }
 
@@ -160,6 +167,11 @@
 	if w := p.trialFor(now, e); w != nil {
 		return w, 0
 	}
+	if p.isLarge(e.item, e.demand) {
+		if w := p.keptFor(now, e); w != nil {
+			return w, 0
+		}
+	}
 	home := p.homeRegion(e.item)
 	w, retryAt := p.findIn(now, home, e)
 	if w != nil {
@@ -182,7 +194,10 @@
 	if w := p.backfill(now, e); w != nil {
 		return w, 0
 	}
-	return p.headroomFor(e), retryAt
+	if w := p.headroomFor(e); w != nil {
+		return w, 0
+	}
+	return p.keptFor(now, e), retryAt
 }
 
 // findIn returns the best candidate of the region, or nil.
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -28,6 +28,16 @@
 			return workers, 0
 		}
 	}
+	if n := min(len(p.kept), 2*e.item.Tasks); n > 0 && p.isLarge(e.item, e.demand) {
+		for _, w := range p.kept[:n] {
+			if w.hold == nil && w.isOpen() && !w.health.onProbation {
+				all = append(all, w)
+			}
+		}
+		if workers := e.assign(all); workers != nil {
+			return workers, 0
+		}
+	}
 	if home != nil {
 		if workers := gather(home); workers != nil {
 			return workers, 0
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -49,7 +49,7 @@
 	start := p.s.random.IntN(len(list))
 	for i := range min(len(list), p.s.cfg.Candidates) {
 		w := list[(start+i)%len(list)]
-		if w.isOpen() && !w.health.onProbation && w.hasRoom(&e.demand) {
+		if w.isOpen() && !w.health.onProbation && (w.hold == nil || list[0].hold == w.hold) && w.hasRoom(&e.demand) {
 			return w
 		}
 	}
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -25,7 +25,7 @@
 	holdWorkers = 512
 	// holdFraction bounds the workers held at once to one in this many, unless a single
 	// item needs more.
-	holdFraction = 4
+	holdFraction = 10
 	// backfillHolds bounds the holds that are tried for one backfill.
 	backfillHolds = 16
 )
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -31,12 +31,15 @@
 	shares       map[string]int64
 	quotas       map[string]api.Resources
 
-	kinds    kindTable
-	holds    []*hold
-	held     int           // workers of all holds
-	holdNext time.Duration // no new hold before
-	headroom []*worker
-	trials   []*worker // on probation
+	kinds      kindTable
+	holds      []*hold
+	held       int           // workers of all holds
+	kept       []*worker     // closed to small work, by time
+	passedByAt time.Duration // when large work was last blocked; 0 if never
+	largest    vector        // elementwise largest worker announced
+	holdNext   time.Duration // no new hold before
+	headroom   []*worker
+	trials     []*worker // on probation
 
 	// freed is the elementwise largest free amount of the workers that gained room
 	// since the last decision. A blocked head that does not fit in it stays blocked.
@@ -103,6 +106,7 @@
 		p.trials = append(p.trials, w)
 	}
 	p.noteShape(w.capacity)
+	p.largest.raise(w.capacity)
 	p.balanceHeadroom(w)
 	w.refreshFreed()
 }
@@ -115,6 +119,7 @@
 	w.headroom = false
 	p.headroom = without(p.headroom, w)
 	p.trials = without(p.trials, w)
+	p.kept, w.kept = without(p.kept, w), false
 	for _, r := range w.tasks {
 		p.countService(w, r.job.item, -1)
 	}
