--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,9 +19,11 @@
 func Workloads(seed uint64) []Workload {
 	return []Workload{
 		day(seed, "firm day 32/64, 80% load", 32), day(seed+1, "firm day 64/128, 80% load", 64),
+		dayWithPeaks(seed, "firm day 32/64 with peaks, 80% on average", 32),
+		dayWithPeaks(seed+1, "firm day 64/128 with peaks, 80% on average", 64),
 		flood(seed, "10x flood, low", api.ClassLow), flood(seed, "10x flood, urgent", api.ClassUrgent),
 		wrongSizes(seed), cancelWaves(seed), failingWorkers(seed), gangMix(seed), saturation(seed),
-		Large(seed, 10*time.Second),
+		Large(seed, 10*time.Second), largeSaturated(seed, 10*time.Second),
 	}
 }
 
@@ -38,6 +41,20 @@
 	return w
 }
 
+// dayWithPeaks is day with a load that rises to 120% and falls to 40% within the run.
+func dayWithPeaks(seed uint64, name string, cores int64) Workload {
+	w := firm(name, cores)
+	w.Window[0] = 0
+	g := newGenerator(seed+50, cores)
+	const steps = 20
+	for i := range steps {
+		load := 0.8 + 0.4*math.Sin(2*math.Pi*(float64(i)+0.5)/steps)
+		w.Arrivals = append(w.Arrivals, g.fill(firmSize, load, w.End*time.Duration(i)/steps, w.End*time.Duration(i+1)/steps, nil)...)
+	}
+	setDeadlines(w.Arrivals)
+	return w
+}
+
 // flood adds for two minutes ten times the ordinary load, of one class of one team.
 func flood(seed uint64, name string, class api.Class) Workload {
 	w := day(seed, name, 32)
@@ -60,7 +77,7 @@
 	g := newGenerator(seed+2, 32)
 	g.wrong = true
 	// The use is more than declared on average, so half the load fills the workers.
-	w.Arrivals = g.fill(firmSize, 0.4, 0, w.End, nil)
+	w.Arrivals = g.fill(firmSize, 0.5, 0, w.End, nil)
 	setDeadlines(w.Arrivals)
 	return w
 }
@@ -108,12 +125,20 @@
 
 // Large is the two-year size: 6,600 workers with 16,000 accelerators, 47,000 tasks
 // running of 100 teams, and 4,200 starts a second for the given time.
-func Large(seed uint64, length time.Duration) Workload { return Fleet(seed, 6600, length) }
+func Large(seed uint64, length time.Duration) Workload {
+	return Fleet(seed, 6600, 1, length)
+}
+
+// largeSaturated is Large with 150% of the starts, so that every worker is full and all
+// teams have queues.
+func largeSaturated(seed uint64, length time.Duration) Workload {
+	return Fleet(seed, 6600, 1.5, length)
+}
 
-// Fleet is Large in proportion to the number of workers.
-func Fleet(seed uint64, workers int, length time.Duration) Workload {
+// Fleet is Large in proportion to the number of workers, with the starts multiplied.
+func Fleet(seed uint64, workers int, multiple float64, length time.Duration) Workload {
 	w := Workload{
-		Name: fmt.Sprintf("%d workers, 100 teams", workers), End: length, OwedTeams: 100,
+		Name: fmt.Sprintf("%d workers, 100 teams, %.0f%% of peak starts", workers, 100*multiple), End: length, OwedTeams: 100,
 		Window: [2]time.Duration{length / 2, length},
 	}
 	for i := range workers {
@@ -134,6 +159,7 @@
 	// long as it takes to start that many.
 	starts := 4200 * float64(workers) / 6600
 	mean := float64(running-services) / starts
+	starts *= multiple
 	next := 0
 	add := func(at, run time.Duration, load api.Workload) {
 		next++
