--- a/placement/account.go
+++ b/placement/account.go
@@ -23,6 +23,7 @@
 	hold      *hold
 	kept      bool // for large work, until keptUntil
 	keptUntil time.Duration
+	freed     bool // in pool.freed.workers
 	health    *health
 }
 
@@ -66,7 +67,13 @@
 	if !w.isOpen() || w.headroom || w.kept || w.hold != nil || w.health.onProbation {
 		return nothing
 	}
-	return w.freeAmount()
+	free := w.freeAmount()
+	if free[dimSlots] <= 0 || free[dimConnections] <= 0 {
+		// Every task needs a slot and a connection. Offering nothing at all lets a
+		// search skip the worker whatever it has left of the rest.
+		return nothing
+	}
+	return free
 }
 
 // hasRoom reports whether one task of demand fits in the account.
@@ -82,11 +89,19 @@
 	}
 }
 
+// refreshTaken is refresh after w has lost room.
+func (w *worker) refreshTaken() {
+	w.refresh()
+	if w.pool != nil {
+		w.pool.freed.noteTaken(w)
+	}
+}
+
 // refreshFreed is refresh after w has gained room.
 func (w *worker) refreshFreed() {
 	w.refresh()
 	if w.pool != nil && w.isOpen() {
-		w.pool.noteFreed(w.freeAmount())
+		w.pool.noteFreed(w)
 	}
 }
 
@@ -107,7 +122,7 @@
 	s.charge(r, r.amount)
 	s.running++
 	w.pool.countService(w, j.item, 1)
-	w.refresh()
+	w.refreshTaken()
 }
 
 // charge adds amount to every account that r counts in.
@@ -179,7 +194,7 @@
 	}
 	s.charge(r, want.minus(r.amount))
 	r.amount = want
-	r.worker.refresh()
+	r.worker.refreshTaken()
 }
 
 // jobOf returns the running job of the item, creating it if there is none.
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -6,7 +6,7 @@
 )
 
 // searchRetry is when a search that was cut off is repeated from other random places.
-const searchRetry = 10 * time.Millisecond
+const searchRetry = 200 * time.Millisecond
 
 // Decide starts at most max items, reserves their tasks in the account and removes the
 // items whose deadline is before now. The caller owns the result.
@@ -39,26 +39,27 @@
 	if len(d.Placements) >= max || !p.isAwake && p.retryAt > now {
 		return
 	}
-	p.unblockReady(now)
-	p.isAwake = false
-	queue := p.turns()
+	generation := p.freed.generation
+	queue := p.turns(now)
 	for len(queue) > 0 {
 		if len(d.Placements) >= max {
-			p.isAwake = true
 			return
 		}
 		t := &queue[0]
 		if workers := p.try(now, t.entry); workers != nil {
 			d.Placements = append(d.Placements, Placement{Key: t.entry.item.Key, Workers: workers})
 		}
-		if t.renew() {
+		if t.renew(now) {
 			heap.Fix(&queue, 0)
 		} else {
 			heap.Pop(&queue)
 		}
 	}
-	// Every lane is blocked now, but the end of a hold may have freed room meanwhile.
-	p.isAwake = p.freed != nothing
+	if p.freed.generation != generation {
+		return // the end of a hold has freed room meanwhile
+	}
+	p.isAwake = false
+	p.freed.clear()
 }
 
 // turn is a team with an entry that may be tried.
@@ -69,8 +70,8 @@
 }
 
 // renew takes the next entry and the present rank of the team; false if none is ready.
-func (t *turn) renew() bool {
-	t.entry, t.rank = t.team.nextHead()
+func (t *turn) renew(now time.Duration) bool {
+	t.entry, t.rank = t.team.nextHead(now)
 	return t.entry != nil
 }
 
@@ -88,11 +89,12 @@
 }
 
 // turns returns the teams with an entry to try, as a heap by rank.
-func (p *pool) turns() turnHeap {
+func (p *pool) turns(now time.Duration) turnHeap {
+	p.retryAt = never
 	queue := p.s.turns[:0]
 	for _, t := range p.active {
 		next := turn{team: t}
-		if next.renew() {
+		if next.renew(now) {
 			queue = append(queue, next)
 		}
 	}
@@ -106,7 +108,7 @@
 	t := e.lane.class.team
 	if t.exceedsQuota(e.total()) >= 0 {
 		// Only a release of the team changes this, and that unblocks the lane.
-		e.lane.blocked = true
+		e.lane.blocked, e.lane.generation = true, p.freed.generation
 		return nil
 	}
 	var workers []*worker
@@ -152,7 +154,7 @@
 	if at := p.keptRetry(now, e); at > 0 && (retryAt == 0 || at < retryAt) {
 		retryAt = at
 	}
-	e.lane.blocked, e.lane.retryAt = true, retryAt
+	e.lane.blocked, e.lane.retryAt, e.lane.generation = true, retryAt, p.freed.generation
 	if retryAt > 0 {
 		p.retryAt = min(p.retryAt, retryAt)
 	}
@@ -167,6 +169,9 @@
 	if w := p.trialFor(now, e); w != nil {
 		return w, 0
 	}
+	if e.lane.blocked && !e.lane.isDue(now) && !p.freed.overflow {
+		return p.findFreed(now, e), e.lane.retryAt
+	}
 	if p.isLarge(e.item, e.demand) {
 		if w := p.keptFor(now, e); w != nil {
 			return w, 0
@@ -197,6 +202,9 @@
 	if w := p.headroomFor(e); w != nil {
 		return w, 0
 	}
+	if retryAt == 0 && e.lane.class.index == classUrgent && len(p.headroom) > 0 {
+		retryAt = now + searchRetry // the class may be privileged by then
+	}
 	return p.keptFor(now, e), retryAt
 }
 
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -9,16 +9,23 @@
 // gangBudget is how many index nodes a gang's search may visit for each of its tasks.
 const gangBudget = 64
 
+// gangInterval bounds how often a waiting gang is tried while room is freed, as a try
+// visits many workers.
+const gangInterval = 50 * time.Millisecond
+
 // findGang returns the workers for all tasks of e, or nil if they do not all fit now.
 // It reserves nothing, so a gang that does not fit holds no part of its tasks. The
 // retry time is that of find. One region is preferred over several.
 func (p *pool) findGang(now time.Duration, e *entry) ([]*worker, time.Duration) {
+	free, total := p.capacity.minus(p.reserved), e.total()
+	if !total.fits(&free) {
+		return nil, 0
+	}
+	e.notBefore = now + gangInterval
 	home := p.homeRegion(e.item)
 	var all []*worker
-	cutOff := false
 	gather := func(r *region) []*worker {
-		found, cut := p.gangCandidates(r, e)
-		cutOff = cutOff || cut
+		found := p.gangCandidates(r, e)
 		all = append(all, found...)
 		return e.assign(found)
 	}
@@ -44,7 +51,7 @@
 		}
 	}
 	if crossing := p.crossingAt(now, e); crossing > now {
-		return nil, crossing
+		return nil, min(crossing, now+gangInterval)
 	}
 	for _, r := range p.regions {
 		if r == home {
@@ -57,21 +64,18 @@
 	if workers := e.assign(all); workers != nil {
 		return workers, 0
 	}
-	if cutOff {
-		return nil, now + searchRetry
-	}
-	return nil, 0
+	return nil, now + gangInterval
 }
 
 // gangCandidates collects the workers of the region with room for at least one task,
 // from a random place of the index on, at most twice as many as there are tasks.
-func (p *pool) gangCandidates(r *region, e *entry) (found []*worker, cutOff bool) {
+func (p *pool) gangCandidates(r *region, e *entry) []*worker {
 	x := r.index
 	want := max(2*e.item.Tasks, p.s.cfg.Candidates)
 	q := search{x: x, demand: e.demand, want: want, budget: searchBudget + gangBudget*e.item.Tasks}
 	start := p.s.random.IntN(x.size)
 	q.wrapped(start, start+x.size)
-	return q.found, q.budget <= 0
+	return q.found
 }
 
 // assign spreads the tasks over as few of the workers as possible, or returns nil if
--- a/placement/health.go
+++ b/placement/health.go
@@ -130,7 +130,7 @@
 	for _, w := range p.trials {
 		at := w.health.trialAt
 		if w.mayTry(now) && (at > p.s.lastDecision || at+urgentTrialAfter > p.s.lastDecision && at+urgentTrialAfter <= now) {
-			p.noteFreed(w.freeAmount())
+			p.noteFreed(w)
 		}
 	}
 }
--- a/placement/keep.go
+++ b/placement/keep.go
@@ -57,17 +57,20 @@
 // keptFor returns a kept worker for e, or nil: for large work always, for small work
 // of a team within its share after keptAfter.
 func (p *pool) keptFor(now time.Duration, e *entry) *worker {
-	if len(p.kept) == 0 {
-		return nil
-	}
-	t := e.lane.class.team
-	mayBreak := e.blockedSince >= 0 && now-e.blockedSince >= keptAfter && t.share() < t.owed()
-	if !mayBreak && !p.isLarge(e.item, e.demand) {
+	if len(p.kept) == 0 || !p.mayUseKept(now, e) {
 		return nil
 	}
 	return p.firstWithRoom(p.kept, e)
 }
 
+func (p *pool) mayUseKept(now time.Duration, e *entry) bool {
+	if p.isLarge(e.item, e.demand) {
+		return true
+	}
+	t := e.lane.class.team
+	return e.blockedSince >= 0 && now-e.blockedSince >= keptAfter && t.share() < t.owed()
+}
+
 // keptRetry is when e, which found no room, may take kept room; 0 if it may already.
 func (p *pool) keptRetry(now time.Duration, e *entry) time.Duration {
 	if at := max(e.blockedSince, 0) + keptAfter; len(p.kept) > 0 && e.blockedSince >= 0 && at > now {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -41,9 +41,7 @@
 	headroom   []*worker
 	trials     []*worker // on probation
 
-	// freed is the elementwise largest free amount of the workers that gained room
-	// since the last decision. A blocked head that does not fit in it stays blocked.
-	freed   vector
+	freed   freedRoom
 	isAwake bool          // some lane may be ready
 	retryAt time.Duration // earliest retryAt of a lane; never if none
 }
@@ -61,7 +59,8 @@
 	if p := s.pools[name]; p != nil {
 		return p
 	}
-	p := &pool{name: name, s: s, teams: map[string]*team{}, freed: nothing, retryAt: never}
+	p := &pool{name: name, s: s, teams: map[string]*team{}, retryAt: never}
+	p.freed.largest = nothing
 	p.kinds.kinds = map[string]*kindStats{}
 	p.applyTables(s.tables[name])
 	s.pools[name] = p
@@ -120,6 +119,7 @@
 	p.headroom = without(p.headroom, w)
 	p.trials = without(p.trials, w)
 	p.kept, w.kept = without(p.kept, w), false
+	p.freed.forget(w)
 	for _, r := range w.tasks {
 		p.countService(w, r.job.item, -1)
 	}
@@ -142,12 +142,6 @@
 	return list
 }
 
-// noteFreed records that a worker has gained room and now has free left.
-func (p *pool) noteFreed(free vector) {
-	p.freed.raise(free)
-	p.wake()
-}
-
 func (p *pool) wake() { p.isAwake = true }
 
 // forgetIdleTeams drops the accounts of all idle teams when there are too many.
@@ -161,24 +155,3 @@
 		}
 	}
 }
-
-// unblockReady unblocks the heads that the freed room or the time lets try again.
-func (p *pool) unblockReady(now time.Duration) {
-	p.retryAt = never
-	for _, t := range p.active {
-		for _, q := range t.classes {
-			useHeadroom := len(p.headroom) > 0 && q.isPrivileged()
-			for _, l := range q.lanes {
-				if !l.blocked {
-					continue
-				}
-				if l.head.demand.fits(&p.freed) || l.retryAt > 0 && l.retryAt <= now || useHeadroom {
-					l.blocked, l.retryAt = false, 0
-				} else if l.retryAt > 0 {
-					p.retryAt = min(p.retryAt, l.retryAt)
-				}
-			}
-		}
-	}
-	p.freed = nothing
-}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -34,6 +34,7 @@
 	work         float64       // at arrival; see pool.work
 	blockedSince time.Duration // first failed try as head of its lane; -1 before
 	hold         *hold
+	notBefore    time.Duration // no try before, even if room is freed
 	holdRetryAt  time.Duration // no hold before
 	holdLength   time.Duration // of the last hold
 }
@@ -49,7 +50,8 @@
 	tail    *entry
 	blocked bool
 	// retryAt unblocks the lane at that time; 0 if only freed room does.
-	retryAt time.Duration
+	retryAt    time.Duration
+	generation uint64 // of the freed room at the last try
 }
 
 // halfPower returns the position of v on a scale of two steps for each power of two.
--- a/placement/share.go
+++ b/placement/share.go
@@ -181,10 +181,10 @@
 }
 
 // readyHead returns the earliest head of a lane that may be tried, or nil.
-func (q *classQueue) readyHead() *entry {
+func (q *classQueue) readyHead(now time.Duration) *entry {
 	var first *entry
 	for _, l := range q.lanes {
-		if !l.blocked && (first == nil || l.head.sequence < first.sequence) {
+		if (first == nil || l.head.sequence < first.sequence) && l.isReady(now) {
 			first = l.head
 		}
 	}
@@ -192,15 +192,15 @@
 }
 
 // nextHead returns the entry that t should start next and its rank; nil if none is ready.
-func (t *team) nextHead() (*entry, rank) {
+func (t *team) nextHead(now time.Duration) (*entry, rank) {
 	urgent := t.classes[classUrgent]
-	if e := urgent.readyHead(); e != nil && urgent.isPrivileged() && t.share() < t.owed() {
+	if e := urgent.readyHead(now); e != nil && urgent.isPrivileged() && t.share() < t.owed() {
 		return e, rank{urgent: true, key: urgent.share() / t.weight, sequence: t.sequence}
 	}
 	var best *entry
 	lowest := math.Inf(1)
 	for i, q := range t.classes {
-		e := q.readyHead()
+		e := q.readyHead(now)
 		if e == nil {
 			continue
 		}
