--- a/bench/workload.go
+++ b/bench/workload.go
@@ -136,35 +136,51 @@
 	return values[len(values)-1]
 }
 
-// fill draws arrivals between two times so that the work they bring is load times what
-// the workers can do. Load counts the scarcest of CPU and slots.
+// fill draws arrivals between two times that bring load times the work that the workers
+// can do in that time. The work counts the scarcer of CPU and slots; the run times are
+// scaled so that it is exact for each list drawn, not only on average.
 func (g *generator) fill(workers int, load float64, from, to time.Duration, change func(*Arrival)) []Arrival {
 	const sample = 2000
 	probe := *g
 	probe.random = rand.New(rand.NewPCG(99, 99))
-	var cpu, slots float64
-	for range sample {
-		a := probe.draw(0)
-		if change != nil {
-			change(&a)
-		}
-		work := a.RunTime.Seconds() * float64(a.Item.Tasks)
-		cpu += work * float64(a.Item.Resources.MilliCPU) / float64(g.cores*1000)
-		slots += work / 8
+	probed := make([]Arrival, sample)
+	for i := range probed {
+		probed[i] = probe.drawChanged(0, change)
 	}
-	rate := load * float64(workers) / (max(cpu, slots) / sample)
+	rate := load * float64(workers) * sample / g.work(probed)
 	var list []Arrival
 	for at := from; ; {
 		at += time.Duration(g.random.ExpFloat64() / rate * float64(time.Second))
 		if at >= to {
-			return list
+			break
 		}
-		a := g.draw(at.Truncate(time.Millisecond))
-		if change != nil {
-			change(&a)
-		}
-		list = append(list, a)
+		list = append(list, g.drawChanged(at.Truncate(time.Millisecond), change))
+	}
+	scale := load * float64(workers) * (to - from).Seconds() / g.work(list)
+	for i := range list {
+		list[i].RunTime = time.Duration(float64(list[i].RunTime) * scale)
+		list[i].Item.RunTime = time.Duration(float64(list[i].Item.RunTime) * scale)
+	}
+	return list
+}
+
+func (g *generator) drawChanged(at time.Duration, change func(*Arrival)) Arrival {
+	a := g.draw(at)
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+// work is what the arrivals take in the scarcer of CPU and slots, in worker-seconds.
+func (g *generator) work(list []Arrival) float64 {
+	var cpu, slots float64
+	for _, a := range list {
+		work := a.RunTime.Seconds() * float64(a.Item.Tasks)
+		cpu += work * float64(a.Item.Resources.MilliCPU) / float64(g.cores*1000)
+		slots += work / 8
 	}
+	return max(cpu, slots)
 }
 
 func byTime(list []Arrival) []Arrival {
--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -57,8 +57,13 @@
 
 // flood adds for two minutes ten times the ordinary load, of one class of one team.
 func flood(seed uint64, name string, class api.Class) Workload {
-	w := day(seed, name, 32)
+	w := firm(name, 32)
 	w.Window = [2]time.Duration{time.Minute, 3 * time.Minute}
+	base := newGenerator(seed, 32)
+	for _, part := range [][2]time.Duration{{0, w.Window[0]}, w.Window, {w.Window[1], w.End}} {
+		w.Arrivals = append(w.Arrivals, base.fill(firmSize, 0.8, part[0], part[1], nil)...)
+	}
+	setDeadlines(w.Arrivals)
 	g := newGenerator(seed+100, 32)
 	g.next = 1_000_000
 	more := g.fill(firmSize, 8, time.Minute, 3*time.Minute, func(a *Arrival) {
