client: HTTP client library for callers and operators

Cause: callers and operators need failover between entry VMs without a resend that could run work twice. Change: package client. Unavailable and failed dials are tried again for every call; after an uncertain try only reads and keyed calls are; a refusal after an uncertain try is reported as unknown_result, since the first copy may still arrive. Answers are checked against their digest.

--- /dev/null
+++ b/client/requests.go
@@ -0,0 +1,82 @@
+package client
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// Submit submits a request, or joins the one with the same key, and returns its outcome
+// or, after WaitMillis, its state. It is resent with the same key, which joins the first
+// execution. On CodeUnknownResult the request may have been accepted: call Outcome, or
+// Submit again with the same key and body.
+func (c *Client) Submit(ctx context.Context, r api.SubmitRequest) (api.RequestStatus, error) {
+	if r.Caller == "" || r.Key == "" {
+		return api.RequestStatus{}, missingKey(r.Caller)
+	}
+	return c.status(ctx, call{
+		method: http.MethodPost, path: "/v1/requests", body: r, resend: resendKeyed, wait: millis(r.WaitMillis),
+	})
+}
+
+// Outcome returns the state of a request, waiting up to wait for its outcome. Kind is
+// the kind that it was submitted with; it leads to the partition that holds the record.
+func (c *Client) Outcome(ctx context.Context, key api.RequestKey, kind string, wait time.Duration) (api.RequestStatus, error) {
+	return c.keyed(ctx, http.MethodGet, key, kind, wait, resendRead)
+}
+
+// Cancel ends a request and returns its state: not_run only with proof that it did not
+// run. The same cancel may be sent again.
+func (c *Client) Cancel(ctx context.Context, key api.RequestKey, kind string, wait time.Duration) (api.RequestStatus, error) {
+	return c.keyed(ctx, http.MethodDelete, key, kind, wait, resendKeyed)
+}
+
+func (c *Client) keyed(ctx context.Context, method string, key api.RequestKey, kind string, wait time.Duration, rule resendRule) (api.RequestStatus, error) {
+	if key.Caller == "" || key.Key == "" {
+		return api.RequestStatus{}, missingKey(key.Caller)
+	}
+	query := url.Values{"kind": {kind}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	path := "/v1/requests/" + url.PathEscape(key.Caller) + "/" + url.PathEscape(key.Key) + "?" + query.Encode()
+	return c.status(ctx, call{method: method, path: path, resend: rule, wait: wait})
+}
+
+// status carries out a call that is answered with a request's state and checks that the
+// answer in it is whole.
+func (c *Client) status(ctx context.Context, k call) (api.RequestStatus, error) {
+	var status api.RequestStatus
+	k.out = &status
+	k.verify = func() error { return verifyAnswer(status) }
+	if err := c.do(ctx, k); err != nil {
+		return api.RequestStatus{}, err
+	}
+	return status, nil
+}
+
+func verifyAnswer(s api.RequestStatus) error {
+	if s.AnswerDigest == "" {
+		return nil
+	}
+	sum := sha256.Sum256(s.Answer)
+	if got := hex.EncodeToString(sum[:]); got != s.AnswerDigest {
+		return errors.Errorf("answer of %d bytes has digest %s, want %s", len(s.Answer), got, s.AnswerDigest)
+	}
+	return nil
+}
+
+func missingKey(caller string) *api.Error {
+	field := "key"
+	if caller == "" {
+		field = "caller"
+	}
+	return &api.Error{Code: api.CodeBadRequest, Field: field, Message: "must not be empty", NotRun: true}
+}
+
+func millis(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
