oleanderchute: operator's commands

Cause: operators need to check, apply and inspect the tables from a shell and from scripts, with messages that tell what to type. Change: kong commands check, apply, diff, tables, history, routes, pools, workers, problems, status, explain, submit, outcome, cancel, drain and version; exit codes 0 to 4; tables for people and JSON for scripts.

--- /dev/null
+++ b/cmd/oleanderchute/cancel.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// CancelCmd cancels a request.
+type CancelCmd struct {
+	RequestFlags
+	Wait time.Duration `default:"5s" help:"How long to wait until a running task has stopped."`
+}
+
+// Help shows an example.
+func (CancelCmd) Help() string {
+	return `The exit code is 0 when the request did not run or is being stopped, and 1 when it had
+already ended.
+
+Example: oleanderchute cancel g-2041 --caller tenders --kind draft-guarantee`
+}
+
+// Run cancels the request and prints its state.
+func (c *CancelCmd) Run(a *app) error {
+	status, err := fetchOne(a, func(cl *client.Client, ctx context.Context) (api.RequestStatus, error) {
+		return cl.Cancel(ctx, c.key(), c.Kind, c.Wait)
+	})
+	if err != nil {
+		return c.explainUnknown(err)
+	}
+	return a.printStatus(status, "", cancelExit)
+}
+
+// cancelExit maps the state of a request that should not run to an exit code.
+func cancelExit(s api.State) int {
+	switch s {
+	case api.StateDone, api.StateFailed:
+		return exitFailed
+	case api.StateUnknown:
+		return exitUnknown
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/oleanderchute/check.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// CheckCmd checks a table file.
+type CheckCmd struct {
+	File string `arg:"" help:"Table file in YAML; - for the standard input."`
+}
+
+// Help shows an example.
+func (CheckCmd) Help() string {
+	return `Without an address only the file itself is checked. With one, the homes, the former
+tables and the workers of the cluster are checked too. Errors give exit code 1; warnings do not.
+
+Example: oleanderchute check tables.yaml
+Example: oleanderchute --address 10.0.0.1:8080 check tables.yaml`
+}
+
+// Run checks the file offline and, with an address, in the cluster.
+func (c *CheckCmd) Run(a *app) error {
+	tables, err := a.readTables(c.File)
+	if err != nil {
+		return err
+	}
+	problems := control.Check(api.Tables{}, tables, nil, nil)
+	if len(a.Address) > 0 {
+		fromCluster, err := a.checkInCluster(tables)
+		if err != nil {
+			_ = a.printProblems(c.File, problems)
+			return err
+		}
+		problems = fromCluster // it includes the checks of the file
+	}
+	if err := a.printProblems(c.File, problems); err != nil {
+		return err
+	}
+	if a.Output != "json" {
+		a.linef("%s: %d routes, %d pools, no errors, %d warnings", c.File, len(tables.Routes), len(tables.Pools), len(problems))
+	}
+	return nil
+}
+
+func (a *app) checkInCluster(tables api.Tables) ([]api.Problem, error) {
+	c, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	return c.Check(a.ctx, tables)
+}
--- /dev/null
+++ b/cmd/oleanderchute/cli.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+const description = `Operator's command of the oleanderchute cluster scheduler.
+
+Exit codes: 0 ok; 1 refused or failed; 2 usage; 3 no VM reachable or available;
+4 outcome unknown (the call may have taken effect).
+
+Example: oleanderchute --address 10.0.0.1:8080 --address 10.0.0.2:8080 status`
+
+// CLI is the command line.
+type CLI struct {
+	Globals
+
+	// The daemon's commands are declared here and implemented in serve.go and dev.go:
+	//	Serve ServeCmd `cmd:"" help:"Run the daemon."`
+	//	Dev   DevCmd   `cmd:"" help:"Run a small cluster in one process for trials."`
+
+	Check    CheckCmd    `cmd:"" help:"Check a table file, and ask the cluster when an address is given."`
+	Apply    ApplyCmd    `cmd:"" help:"Replace the tables in force by those of a file."`
+	Diff     DiffCmd     `cmd:"" help:"Show what applying a file would change."`
+	Tables   TablesCmd   `cmd:"" help:"Print the tables in force as a table file."`
+	History  HistoryCmd  `cmd:"" help:"List the accepted changes of the tables, newest first."`
+	Routes   RoutesCmd   `cmd:"" help:"List the routes in force."`
+	Pools    PoolsCmd    `cmd:"" help:"List the pools in force."`
+	Workers  WorkersCmd  `cmd:"" help:"List the workers as their owners see them."`
+	Problems ProblemsCmd `cmd:"" help:"List what should be mended, newest first."`
+	Status   StatusCmd   `cmd:"" help:"Show the VMs and partitions."`
+	Explain  ExplainCmd  `cmd:"" help:"Tell why a request has not started."`
+	Submit   SubmitCmd   `cmd:"" help:"Submit a request."`
+	Outcome  OutcomeCmd  `cmd:"" help:"Show the state or outcome of a request."`
+	Cancel   CancelCmd   `cmd:"" help:"Cancel a request."`
+	Drain    DrainCmd    `cmd:"" help:"Make a VM finish what it has and take nothing new."`
+	Version  VersionCmd  `cmd:"" help:"Print the version of this program."`
+}
+
+// Globals are the flags of all commands.
+type Globals struct {
+	Address []string      `env:"OLEANDER_ADDRESS" sep:"," placeholder:"HOST:PORT" help:"Entry VM to call; repeat it for more. They are tried in turn."`
+	Output  string        `enum:"table,json" default:"table" help:"Output for people (table) or for scripts (json)."`
+	Timeout time.Duration `default:"30s" help:"Bound of a call with all its tries; time to wait for an outcome is added."`
+}
+
+// streams are the standard streams of the process or of a test.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// app is what the Run methods of the commands use.
+type app struct {
+	Globals
+	streams
+	ctx context.Context // ends at SIGINT and SIGTERM
+}
+
+// client returns a client for the given addresses.
+func (a *app) client() (*client.Client, error) {
+	if len(a.Address) == 0 {
+		return nil, usagef("no address of an entry VM is given; type \"--address HOST:PORT\" or set OLEANDER_ADDRESS")
+	}
+	c, err := client.New(a.Address, client.Options{MaxElapsed: a.Timeout, CallTimeout: min(a.Timeout, 4*time.Second)})
+	if err != nil {
+		return nil, usagef("%v; type \"--address HOST:PORT\"", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/oleanderchute/cluster_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// cluster is a stand-in for the entry VMs with a real control state.
+type cluster struct {
+	*httptest.Server
+	mu    sync.Mutex
+	state *control.State
+	// loseAnswers is how many answers to apply are lost after the change took effect.
+	loseAnswers int
+	// status answers the request calls.
+	status api.RequestStatus
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{state: control.New()}
+	c.state.Apply(1, control.EncodeAssign(control.Partition{Name: "east", Replicas: []control.Replica{{VM: "vm1", Node: "vm1#a"}}}))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/tables", func(w http.ResponseWriter, _ *http.Request) { c.reply(w, c.state.Tables()) })
+	mux.HandleFunc("GET /v1/history", func(w http.ResponseWriter, _ *http.Request) { c.reply(w, c.state.History()) })
+	mux.HandleFunc("POST /v1/tables/check", func(w http.ResponseWriter, r *http.Request) {
+		var tables api.Tables
+		_ = json.NewDecoder(r.Body).Decode(&tables)
+		c.reply(w, c.state.Check(tables, nil))
+	})
+	mux.HandleFunc("POST /v1/tables/apply", c.apply)
+	mux.HandleFunc("POST /v1/requests", c.submit)
+	mux.HandleFunc("/v1/requests/{caller}/{key}", func(w http.ResponseWriter, _ *http.Request) { c.reply(w, c.status) })
+	for path, value := range map[string]any{
+		"GET /v1/problems": []api.Problem{{Kind: "unknown_kind", Severity: "warning", Subject: "pl\x1b[2Jam", Message: "m", Nearest: "plan", Remedy: "send kind \"plan\"", Count: 3, FirstSeenUnixMillis: 1000, Callers: []string{"bank"}}},
+		"GET /v1/workers":  []api.WorkerStatus{{Worker: "w1", Pool: "timing", State: "ready"}, {Worker: "w2", Pool: "other", State: "ready"}},
+		"GET /v1/status":   api.StatusResponse{VMs: []api.VMStatus{{VM: "vm1", Role: "leader", MayServe: true}}, Partitions: []api.PartitionStatus{{Partition: "east", Leader: "vm1"}}},
+		"GET /v1/explain":  api.Explanation{Caller: "bank", Key: "k1", State: api.StateQueued, WaitsFor: "memory", RuledOut: map[string]int{"memory_mb": 4}},
+		"POST /v1/drain":   nil,
+	} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { c.reply(w, value) })
+	}
+	c.Server = httptest.NewServer(mux)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *cluster) reply(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
+
+func (c *cluster) apply(w http.ResponseWriter, r *http.Request) {
+	var request api.ApplyRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result := c.state.Apply(c.state.Index()+1, control.EncodeChange(control.Change{Request: request}))
+	if c.loseAnswers > 0 {
+		c.loseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	c.reply(w, result.Apply)
+}
+
+func (c *cluster) submit(w http.ResponseWriter, r *http.Request) {
+	var request api.SubmitRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	if _, _, err := c.state.Resolve(request.Kind); err != nil {
+		w.WriteHeader(err.Code.HTTPStatus())
+		c.reply(w, err)
+		return
+	}
+	c.reply(w, c.status)
+}
+
+// command runs one command line.
+func command(args ...string) (code int, out, errOut string) {
+	var o, e strings.Builder
+	code = run(args, streams{in: strings.NewReader(goodTables), out: &o, err: &e})
+	return code, o.String(), e.String()
+}
+
+func writeFile(t *testing.T, content string) string {
+	name := filepath.Join(t.TempDir(), "tables.yaml")
+	if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+const goodTables = `routes:
+  - name: plan
+    pool: timing
+pools:
+  - name: timing
+    home: east
+`
--- /dev/null
+++ b/cmd/oleanderchute/diff.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// DiffCmd compares a table file with the tables in force.
+type DiffCmd struct {
+	File string `arg:"" help:"Table file in YAML; - for the standard input."`
+}
+
+// Help shows an example.
+func (DiffCmd) Help() string {
+	return `Lines begin with + for new, ~ for altered and - for removed entries.
+
+Example: oleanderchute diff tables.yaml`
+}
+
+// Run prints the difference.
+func (c *DiffCmd) Run(a *app) error {
+	tables, err := a.readTables(c.File)
+	if err != nil {
+		return err
+	}
+	inForce, err := a.tablesInForce()
+	if err != nil {
+		return err
+	}
+	delta := control.Diff(inForce, tables)
+	return a.print(delta, func() { a.printDelta(inForce, delta) })
+}
+
+func (a *app) printDelta(inForce api.Tables, d control.Delta) {
+	if d.IsEmpty() {
+		a.linef("no difference to version %d", inForce.Version)
+		return
+	}
+	routes, pools := make(map[string]bool), make(map[string]bool)
+	for _, r := range inForce.Routes {
+		routes[r.Name] = true
+	}
+	for _, p := range inForce.Pools {
+		pools[p.Name] = true
+	}
+	for _, r := range d.PutRoutes {
+		a.linef("%s route %s: pool %s aliases %v workload %q class %q", putSign(routes[r.Name]), r.Name, r.Pool, r.Aliases, r.Workload, r.Class)
+	}
+	for _, name := range d.DropRoutes {
+		a.linef("- route %s", name)
+	}
+	for _, p := range d.PutPools {
+		a.linef("%s pool %s: home %s shares %v quotas %v", putSign(pools[p.Name]), p.Name, p.Home, p.Shares, p.Quotas)
+	}
+	for _, name := range d.DropPools {
+		a.linef("- pool %s", name)
+	}
+}
+
+func putSign(existed bool) string {
+	if existed {
+		return "~"
+	}
+	return "+"
+}
--- /dev/null
+++ b/cmd/oleanderchute/history.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"strconv"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// HistoryCmd lists the accepted changes.
+type HistoryCmd struct{}
+
+// Help shows an example.
+func (HistoryCmd) Help() string { return "Example: oleanderchute history" }
+
+// Run lists the history.
+func (HistoryCmd) Run(a *app) error {
+	header := []string{"VERSION", "TIME", "OPERATOR", "ROUTES", "POOLS", "CHANGE"}
+	return view(a, (*client.Client).History, header, func(list []api.HistoryEntry) (rows [][]string) {
+		for _, h := range list {
+			rows = append(rows, []string{strconv.FormatUint(h.Version, 10), unixMillis(h.UnixMillis), h.Operator,
+				strconv.Itoa(h.RoutesChanged), strconv.Itoa(h.PoolsChanged), h.ChangeID})
+		}
+		return rows
+	})
+}
--- /dev/null
+++ b/cmd/oleanderchute/output.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// print writes value as JSON, or calls people for the output for people.
+func (a *app) print(value any, people func()) error {
+	if a.Output != "json" {
+		people()
+		return nil
+	}
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(value)
+}
+
+// table writes rows under a header in aligned columns.
+func (a *app) table(header []string, rows [][]string) {
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	writeRow(w, header)
+	for _, row := range rows {
+		writeRow(w, row)
+	}
+	_ = w.Flush()
+}
+
+func writeRow(w *tabwriter.Writer, cells []string) {
+	clean := make([]string, len(cells))
+	for i, cell := range cells {
+		clean[i] = printable(cell)
+		if cell == "" {
+			clean[i] = "-"
+		}
+	}
+	fmt.Fprintln(w, strings.Join(clean, "\t"))
+}
+
+// printable replaces characters that would break the layout or control the terminal.
+// Names in the output come from callers.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return '?'
+	}, s)
+}
+
+// linef writes one line to the standard output.
+func (a *app) linef(format string, args ...any) {
+	fmt.Fprintln(a.out, printable(fmt.Sprintf(format, args...)))
+}
+
+func unixMillis(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
+}
+
+func resources(r api.Resources) string {
+	s := fmt.Sprintf("%dm %dMB", r.MilliCPU, r.MemoryMB)
+	if r.Accelerators != 0 {
+		s += fmt.Sprintf(" %dacc", r.Accelerators)
+	}
+	return s
+}
+
+// problems writes one block for each problem.
+func (a *app) problems(list []api.Problem) {
+	for _, p := range list {
+		seen := ""
+		if p.Count > 0 {
+			seen = fmt.Sprintf(" (%d times since %s)", p.Count, unixMillis(p.FirstSeenUnixMillis))
+		}
+		a.linef("%s %s %q%s", p.Severity, p.Kind, p.Subject, seen)
+		fmt.Fprintln(a.out, "  "+printable(p.Message))
+		if p.Nearest != "" {
+			fmt.Fprintln(a.out, "  nearest: "+printable(p.Nearest))
+		}
+		if len(p.Callers) > 0 {
+			fmt.Fprintln(a.out, "  callers: "+printable(strings.Join(p.Callers, ", ")))
+		}
+		if p.Remedy != "" {
+			fmt.Fprintln(a.out, "  remedy: "+printable(p.Remedy))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/oleanderchute/problems.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// ProblemsCmd lists problems.
+type ProblemsCmd struct{}
+
+// Help shows an example.
+func (ProblemsCmd) Help() string { return "Example: oleanderchute problems" }
+
+// Run lists the problems.
+func (ProblemsCmd) Run(a *app) error {
+	list, err := fetchOne(a, (*client.Client).Problems)
+	if err != nil {
+		return err
+	}
+	return a.print(list, func() {
+		a.problems(list)
+		if len(list) == 0 {
+			a.linef("no problems")
+		}
+	})
+}
--- /dev/null
+++ b/cmd/oleanderchute/request.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// RequestFlags name a request.
+type RequestFlags struct {
+	Key    string `arg:"" help:"Key of the request, unique for its caller."`
+	Caller string `required:"" env:"OLEANDER_CALLER" help:"Caller that the key belongs to."`
+	Kind   string `required:"" help:"Kind of the request: a route or one of its aliases."`
+}
+
+func (r RequestFlags) key() api.RequestKey { return api.RequestKey{Caller: r.Caller, Key: r.Key} }
+
+// AnswerFlag takes the answer of a request.
+type AnswerFlag struct {
+	Answer string `type:"path" placeholder:"FILE" help:"Write the answer to this file."`
+}
+
+func (r RequestFlags) explainUnknown(err error) error {
+	if exitCode(err) != exitUnknown {
+		return err
+	}
+	return &exitError{exitUnknown, fmt.Sprintf("%v; to learn the outcome type \"oleanderchute outcome %s --caller %s --kind %s\"", err, r.Key, r.Caller, r.Kind)}
+}
+
+// stateExit maps the state of a request that should run to an exit code.
+func stateExit(s api.State) int {
+	switch s {
+	case api.StateFailed, api.StateNotRun:
+		return exitFailed
+	case api.StateUnknown:
+		return exitUnknown
+	}
+	return exitOK
+}
+
+// printStatus prints a state, writes the answer to a file if one is named, and returns
+// the exit code as an error.
+func (a *app) printStatus(s api.RequestStatus, answerFile string, exit func(api.State) int) error {
+	if answerFile != "" && s.State == api.StateDone {
+		if err := os.WriteFile(answerFile, s.Answer, 0o600); err != nil {
+			return failf("%v", err)
+		}
+	}
+	err := a.print(s, func() {
+		a.table([]string{"KEY", "STATE", "WORKER", "ATTEMPT", "WAITED", "ANSWER", "REASON"}, [][]string{{
+			s.Caller + "/" + s.Key, string(s.State), s.Worker, strconv.Itoa(s.Attempt),
+			fmt.Sprintf("%d ms", s.WaitedMillis), fmt.Sprintf("%d bytes", len(s.Answer)), s.Reason}})
+	})
+	if err != nil {
+		return err
+	}
+	if code := exit(s.State); code != exitOK {
+		return &exitError{code: code}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/oleanderchute/tablefile.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
+)
+
+// fileOutput is the JSON output of a command that found faults in a table file.
+type fileOutput struct {
+	File     string              `json:"file"`
+	Errors   []control.FileError `json:"errors,omitempty"`
+	Problems []api.Problem       `json:"problems,omitempty"`
+}
+
+// readTables reads and parses a table file; "-" means the standard input. After faults
+// in the file it has printed them.
+func (a *app) readTables(file string) (api.Tables, error) {
+	data, err := a.readFile(file)
+	if err != nil {
+		return api.Tables{}, failf("%v", err)
+	}
+	tables, faults := control.ParseTables(data)
+	if len(faults) == 0 {
+		return tables, nil
+	}
+	err = a.print(fileOutput{File: file, Errors: faults}, func() {
+		for _, f := range faults {
+			a.linef("%s: %v", file, f)
+		}
+	})
+	if err != nil {
+		return api.Tables{}, err
+	}
+	return api.Tables{}, failf("%s has %d errors", file, len(faults))
+}
+
+func (a *app) readFile(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(a.in)
+	}
+	return os.ReadFile(file)
+}
+
+// printProblems prints the problems and returns an error if one is an error.
+func (a *app) printProblems(file string, problems []api.Problem) error {
+	err := a.print(fileOutput{File: file, Problems: problems}, func() { a.problems(problems) })
+	if err != nil {
+		return err
+	}
+	if n := countErrors(problems); n > 0 {
+		return failf("%s has %d errors", file, n)
+	}
+	return nil
+}
+
+func countErrors(problems []api.Problem) int {
+	n := 0
+	for _, p := range problems {
+		if p.Severity == api.SeverityError {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/oleanderchute/version.go
@@ -0,0 +1,30 @@
+package main
+
+import "runtime/debug"
+
+// VersionCmd prints the version of the program.
+type VersionCmd struct{}
+
+// Help shows an example.
+func (VersionCmd) Help() string { return "Example: oleanderchute version" }
+
+// Run prints the version.
+func (VersionCmd) Run(a *app) error {
+	v := programVersion()
+	return a.print(map[string]string{"version": v}, func() { a.linef("oleanderchute %s", v) })
+}
+
+// programVersion is the module version, or the revision of a build from a checkout.
+func programVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && (v == "" || v == "(devel)") {
+			v = s.Value
+		}
+	}
+	return v
+}
