partition: start nothing without the configuration lease

Cause: a partition owner that is cut off from the control leader went on placing queued work under tables that may no longer be in force. Change: event PlacingAllowed, sent when the configuration lease ends or returns.

--- a/cmd/oleanderchute/cli.go
+++ b/cmd/oleanderchute/cli.go
@@ -8,7 +8,7 @@
 	"github.com/oleanderchute/oleanderchute/client"
 )
 
-const description = `Operator's command of the oleanderchute cluster scheduler.
+const description = `Daemon and operator's command of the oleanderchute cluster scheduler.
 
 Exit codes: 0 ok; 1 refused or failed; 2 usage; 3 no VM reachable or available;
 4 outcome unknown (the call may have taken effect).
@@ -19,9 +19,8 @@
 type CLI struct {
 	Globals
 
-	// The daemon's commands are declared here and implemented in serve.go and dev.go:
-	//	Serve ServeCmd `cmd:"" help:"Run the daemon."`
-	//	Dev   DevCmd   `cmd:"" help:"Run a small cluster in one process for trials."`
+	Serve ServeCmd `cmd:"" help:"Run the daemon of an entry VM."`
+	Dev   DevCmd   `cmd:"" help:"Run one VM and stand-in workers in one process, for trials."`
 
 	Check    CheckCmd    `cmd:"" help:"Check a table file, and ask the cluster when an address is given."`
 	Apply    ApplyCmd    `cmd:"" help:"Replace the tables in force by those of a file."`
--- /dev/null
+++ b/cmd/oleanderchute/logger.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// newLogger returns a logger that writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Wrapf(err, "--log-level=%s", level)
+	}
+	log, err := cfg.Build()
+	return log, errors.WithStack(err)
+}
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -12,6 +12,8 @@
 	cfg          Config
 	newScheduler func() Scheduler
 	tables       api.Tables
+	// suspended is true while the embedder does not allow placing.
+	suspended bool
 
 	// records and nextIndex are replicated; they change only in Apply and Restore.
 	records   map[api.RequestKey]*record
@@ -40,6 +42,8 @@
 		if p.owner != nil {
 			p.owner.sched.SetPools(e.Tables.Pools)
 		}
+	case PlacingAllowed:
+		p.suspended = !e.Allowed
 	case LostOwnership:
 		return p.loseOwnership()
 	case BecameOwner:
@@ -67,7 +71,9 @@
 	if o.dispute != nil {
 		return append(p.loseOwnership(), *o.dispute)
 	}
-	o.decide(now, tick)
+	if !p.suspended {
+		o.decide(now, tick)
+	}
 	o.flush(now)
 	actions := o.actions
 	o.actions = nil
--- a/partition/types.go
+++ b/partition/types.go
@@ -115,6 +115,11 @@
 // TablesChanged replaces the tables this partition works with.
 type TablesChanged struct{ Tables api.Tables }
 
+// PlacingAllowed lets the owner start work, or stops it from starting any. The embedder
+// sends it when it loses or regains the knowledge of the configuration in force. It holds
+// until the next one, also over changes of ownership; placing is allowed at first.
+type PlacingAllowed struct{ Allowed bool }
+
 // Tick tells the time; the embedder sends one at least every 50 ms.
 type Tick struct{}
 
@@ -131,6 +136,7 @@
 func (LostOwnership) isEvent()    {}
 func (ProposeFailed) isEvent()    {}
 func (TablesChanged) isEvent()    {}
+func (PlacingAllowed) isEvent()   {}
 func (Tick) isEvent()             {}
 
 // Action is something the embedder has to do. The concrete types are below.
--- a/server/hosted.go
+++ b/server/hosted.go
@@ -21,6 +21,8 @@
 	waiters  map[partition.WaiterID]chan StatusReply
 	nextID   partition.WaiterID
 	deferred []partition.Event
+	// suspended mirrors whether the core may place; see partition.PlacingAllowed.
+	suspended bool
 }
 
 // apply implements stateMachine.
@@ -87,6 +89,10 @@
 
 // tick tells the core the time while this replica may act.
 func (h *hosted) tick(now time.Duration) {
+	if suspended := h.s.configAge(now) > configLease; suspended != h.suspended {
+		h.suspended = suspended
+		h.do(now, h.core.Step(now, partition.PlacingAllowed{Allowed: !suspended}))
+	}
 	if h.mayAct(now) {
 		h.step(now, partition.Tick{})
 	}
