partition: refuse batches of older epochs, close three gaps in the account

Cause: the property test and scratch runs with single mechanisms turned off showed faults. (1) A claim that was being committed while its worker was lost and came back was dispatched without a reservation. (2) A worker whose tasks were reported before its announcement arrived had them missing in its account. (3) An end that could not be acknowledged yet made syncs follow each other without a pause. Also a batch of a former owner could reach the log late. Announcements of another process are tried when syncs fail.

--- a/partition/apply.go
+++ b/partition/apply.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -15,6 +16,10 @@
 	if err != nil {
 		panic(err)
 	}
+	if b.Epoch < p.epoch {
+		commands = nil
+	}
+	p.epoch = max(p.epoch, b.Epoch)
 	for i := range commands {
 		p.applyCommand(b.Epoch, &commands[i])
 		if p.owner != nil {
@@ -50,9 +55,9 @@
 		return
 	}
 	p.nextIndex++
-	p.records[c.Spec.Key] = &record{
-		Spec: c.Spec, Index: p.nextIndex, AcceptEpoch: epoch, Body: c.Body, State: api.StateQueued,
-	}
+	r := &record{Spec: c.Spec, Index: p.nextIndex, AcceptEpoch: epoch, Body: c.Body, State: api.StateQueued}
+	p.records[c.Spec.Key] = r
+	p.ordered = append(p.ordered, r)
 }
 
 // applyClaim enters an attempt. A non-idempotent request has at most one attempt that
@@ -173,6 +178,12 @@
 		}
 		if c.Unknown && r.State == api.StateUnknown || !c.Unknown && r.State.IsFinal() {
 			delete(p.records, key)
+			r.dropped = true
+			p.dropped++
 		}
 	}
+	if p.dropped > len(p.ordered)/2 {
+		p.ordered = slices.DeleteFunc(p.ordered, func(r *record) bool { return r.dropped })
+		p.dropped = 0
+	}
 }
--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -80,10 +80,17 @@
 		return
 	}
 	a.state, a.confirmed, a.confirmedAt = attemptRunning, true, now
-	if !a.reserved && a.worker.known {
-		a.reserved = true
-		o.sched.Reserve(now, o.item(a.live), 0, a.worker.name)
+	o.reserve(now, a)
+}
+
+// reserve enters a running attempt into the account unless it is there already.
+func (o *owner) reserve(now time.Duration, a *attempt) {
+	w := a.worker
+	if a.state != attemptRunning || a.reserved || a.ending || !w.known || a.incarnation != w.incarnation {
+		return
 	}
+	a.reserved = true
+	o.sched.Reserve(now, o.item(a.live), 0, w.name)
 }
 
 // proposeEnd proposes to record the end of an attempt. Its reservation is returned at
--- a/partition/dispatch.go
+++ b/partition/dispatch.go
@@ -80,7 +80,8 @@
 	case r == nil || r.End != attemptOpen:
 		o.dropAttempt(now, a)
 		o.reconcile(now, a.live)
-	case a.live.cancelWanted || !a.worker.placeable || a.worker.incarnation != a.incarnation:
+	case a.live.cancelWanted || !a.worker.placeable || a.worker.incarnation != a.incarnation || !a.reserved:
+		// Without a reservation the worker was lost and came back during the commit.
 		o.proposeEnd(now, a, attemptWithdrawn, "its worker became unavailable before the dispatch")
 	default:
 		o.send(a)
--- a/partition/ends.go
+++ b/partition/ends.go
@@ -29,11 +29,11 @@
 }
 
 // ended takes a worker's report of an end. It is acknowledged once its record is
-// committed, or at once if there is nothing to record.
-func (o *owner) ended(now time.Duration, w *workerState, e *api.TaskEnd) {
+// committed, or at once if there is nothing to record; only then it returns true.
+func (o *owner) ended(now time.Duration, w *workerState, e *api.TaskEnd) bool {
 	if !wholeAnswer(e) {
 		o.badAnswers++ // not received; the worker repeats it
-		return
+		return false
 	}
 	rec, a := o.p.records[e.Task.RequestKey], o.attempts[e.Task]
 	if a == nil && o.adoptable(rec, e) {
@@ -45,12 +45,12 @@
 			o.dropAttempt(now, a)
 			o.settleLive(now, a.live)
 		}
-		return
+		return true
 	}
 	if a.ending || a.state == attemptClaiming {
-		return
+		return false
 	}
-	o.takeEnd(now, w, a, e)
+	return o.takeEnd(now, w, a, e)
 }
 
 // adoptable reports whether an end may belong to an attempt without a recorded claim. A
@@ -59,12 +59,12 @@
 	return rec != nil && !rec.State.IsOutcome() && e.Kind != api.EndRefused
 }
 
-// takeEnd proposes the record of an end.
-func (o *owner) takeEnd(now time.Duration, w *workerState, a *attempt, e *api.TaskEnd) {
+// takeEnd proposes the record of an end and reports whether none is needed.
+func (o *owner) takeEnd(now time.Duration, w *workerState, a *attempt, e *api.TaskEnd) bool {
 	end, reason := endOf(a, w, e)
 	if end == attemptLost && a.state == attemptGone {
 		o.acknowledge(w, e.Task)
-		return
+		return true
 	}
 	o.reportOutcome(now, a, end, e)
 	a.reported = true
@@ -76,6 +76,7 @@
 		report.Reason = "the answer is over 1 MiB"
 	}
 	o.proposeResult(now, a, &report, end)
+	return false
 }
 
 // endOf returns what an end is recorded as. A refusal is evidence only from the
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -23,6 +23,7 @@
 	rng          *rand.Rand
 
 	live     map[api.RequestKey]*liveRequest
+	doubtful []*liveRequest // those inherited in phaseDoubt, until doubtUntil
 	attempts map[api.TaskID]*attempt
 	workers  map[string]*workerState
 	// workerOrder fixes the order of iteration over workers.
@@ -102,10 +103,13 @@
 	o.log.sequence, o.log.syncs = e.Epoch<<sequenceBits, e.Epoch<<sequenceBits
 	o.budget = newRetryBudget(now)
 	o.sched.SetPools(p.tables.Pools)
-	for _, r := range p.sortedRecords() {
-		o.inherit(now, r, e.NowUnixMillis)
+	for _, r := range p.ordered {
+		if !r.dropped {
+			o.inherit(now, r, e.NowUnixMillis)
+		}
 	}
 	o.after(o.doubtUntil, o.endDoubt)
+	o.log.fence = true
 	return o
 }
 
@@ -131,6 +135,7 @@
 		l.phase = phaseActive
 	case !r.Spec.NonIdempotent:
 		l.phase = phaseDoubt
+		o.doubtful = append(o.doubtful, l)
 	default:
 		o.resume(now, l)
 	}
@@ -169,11 +174,12 @@
 // endDoubt places what older epochs may have dispatched without a durable claim and no
 // worker has reported.
 func (o *owner) endDoubt(now time.Duration) {
-	for _, r := range o.p.sortedRecords() {
-		if l := o.live[r.Spec.Key]; l != nil && l.phase == phaseDoubt {
+	for _, l := range o.doubtful {
+		if l.phase == phaseDoubt {
 			o.resume(now, l)
 		}
 	}
+	o.doubtful = nil
 	for _, w := range o.workerOrder {
 		if !w.synced {
 			o.loseAttempts(now, w, "its worker did not report to the new owner in time")
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -13,9 +13,16 @@
 	newScheduler func() Scheduler
 	tables       api.Tables
 
-	// records and nextIndex are replicated; they change only in Apply and Restore.
+	// The following fields are replicated; they change only in Apply and Restore.
+	// ordered lists the records by acceptance; dropped ones stay in it until they are
+	// half of it.
 	records   map[api.RequestKey]*record
+	ordered   []*record
+	dropped   int
 	nextIndex uint64
+	// epoch is the highest epoch of an applied batch. Batches of lower epochs have no
+	// effect, since their owner's knowledge is outdated.
+	epoch uint64
 
 	// owner is the soft state of the current ownership; nil if there is none.
 	owner *owner
--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -46,12 +46,15 @@
 	pending []*[]byte
 	lastAt  time.Duration
 	log     [][]byte
+	stale   [][]byte
 	ref     *Partition // applies at the moment of the commit
 	workers []*modelWorker
 	loss    float64
 	dup     float64
 	slow    float64
-	fail    float64
+	// slowUntil is when a period of late messages before an owner change ends.
+	slowUntil time.Duration
+	fail      float64
 	// refusals and spoiled are the shares of refused dispatches and damaged answers.
 	refusals, spoiled float64
 
@@ -88,7 +91,7 @@
 }
 
 func (s *sim) delay() time.Duration {
-	if s.chance(s.slow) {
+	if s.chance(s.slow) || s.now < s.slowUntil && s.chance(0.8) {
 		return s.upTo(5 * time.Second)
 	}
 	return s.upTo(15 * ms)
@@ -250,8 +253,11 @@
 func (s *sim) commit() {
 	data := *s.pending[0]
 	s.pending = s.pending[1:]
-	s.log = append(s.log, data)
-	s.ref.Apply(s.now, data)
+	s.append(data)
+	if s.owner != nil && s.ref.epoch == s.epoch && len(s.stale) > 0 {
+		s.append(s.stale[0]) // proposed by a former owner, delayed on the way to the log
+		s.stale = s.stale[1:]
+	}
 	for _, n := range s.nodes {
 		if n == s.owner {
 			s.catchUp(n)
@@ -261,6 +267,11 @@
 	}
 }
 
+func (s *sim) append(data []byte) {
+	s.log = append(s.log, data)
+	s.ref.Apply(s.now, data)
+}
+
 // change ends the ownership; some of the uncommitted entries survive. The former owner
 // learns of it at once, or after its pause.
 func (s *sim) change(to *simNode) {
@@ -276,6 +287,11 @@
 	for keep := s.rng.IntN(len(s.pending) + 1); keep > 0; keep-- {
 		s.commit()
 	}
+	for _, data := range s.pending {
+		if s.chance(0.2) {
+			s.stale = append(s.stale, *data)
+		}
+	}
 	s.pending = nil
 	s.at(s.now+500*ms+s.upTo(time.Second), func() { s.lead(to, term) })
 }
@@ -464,14 +480,19 @@
 
 // step does one random thing.
 func (s *sim) step(op int) {
-	k := api.RequestKey{Caller: "c", Key: fmt.Sprintf("k%d", s.rng.IntN(12+len(s.log)/8))}
+	k := api.RequestKey{Caller: "c", Key: fmt.Sprintf("k%d", s.rng.IntN(10)+int(s.waiter)/3)}
 	w, n := s.workers[s.rng.IntN(len(s.workers))], s.nodes[s.rng.IntN(len(s.nodes))]
 	s.waiter++
 	s.seen[fmt.Sprintf("op %d", op)]++
 	until := n.clock.read(s.now) + s.upTo(3*time.Second)
 	switch op {
 	case 0:
-		s.change(n)
+		// Often the last messages of the former owner are slow.
+		at := s.now + s.upTo(400*ms)
+		if s.chance(0.5) {
+			s.slowUntil = at
+		}
+		s.at(at, func() { s.change(n) })
 	case 1:
 		n.pausedUntil = s.now + s.upTo(4*time.Second)
 	case 2:
--- a/partition/propose.go
+++ b/partition/propose.go
@@ -16,7 +16,10 @@
 	// inFlight holds the batches that are proposed and not applied, oldest first.
 	inFlight  []batch
 	notBefore time.Duration
-	syncs     uint64 // sequence of the last sync
+	// fence asks for a batch without commands, which makes the log refuse batches of
+	// older epochs.
+	fence bool
+	syncs uint64 // sequence of the last sync
 }
 
 // propose queues a command for the next batch.
@@ -27,19 +30,28 @@
 // flush proposes what is pending, in at most maxInFlight batches.
 func (o *owner) flush(now time.Duration) {
 	g := &o.log
+	if g.fence && now >= g.notBefore {
+		g.fence = false
+		o.proposeBatch(nil)
+	}
 	for len(g.pending) > 0 && len(g.inFlight) < maxInFlight && now >= g.notBefore {
 		n := batchLength(g.pending)
-		g.sequence++
-		b := batch{Epoch: o.epoch, Sequence: g.sequence, Commands: g.pending[:n:n]}
+		o.proposeBatch(g.pending[:n:n])
 		g.pending = g.pending[n:]
-		g.inFlight = append(g.inFlight, b)
-		o.emit(Propose{Sequence: b.Sequence, Data: encode(b)})
 	}
 	if len(g.pending) == 0 {
 		g.pending = nil
 	}
 }
 
+// proposeBatch proposes one log entry.
+func (o *owner) proposeBatch(commands []cbor.RawMessage) {
+	o.log.sequence++
+	b := batch{Epoch: o.epoch, Sequence: o.log.sequence, Commands: commands}
+	o.log.inFlight = append(o.log.inFlight, b)
+	o.emit(Propose{Epoch: o.epoch, Sequence: b.Sequence, Data: encode(b)})
+}
+
 // batchLength returns how many commands go into one batch, at least one.
 func batchLength(commands []cbor.RawMessage) int {
 	size := 0
@@ -79,5 +91,6 @@
 		return
 	}
 	o.log.pending = append(append([]cbor.RawMessage(nil), b.Commands...), o.log.pending...)
+	o.log.fence = o.log.fence || len(b.Commands) == 0
 	o.log.notBefore = now + proposeRetry
 }
--- a/partition/record.go
+++ b/partition/record.go
@@ -77,6 +77,8 @@
 	Answer       []byte `cbor:"9,keyasint,omitempty"`
 	AnswerDigest []byte `cbor:"10,keyasint,omitempty"`
 	WaitedMillis int64  `cbor:"11,keyasint,omitempty"`
+
+	dropped bool // expired, and still in Partition.ordered
 }
 
 // requestDigest returns the SHA-256 of the kind and the body.
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -47,6 +47,7 @@
 	b.epoch++
 	b.log, b.syncs, b.send = nil, map[string]SendSync{}, nil
 	b.step(BecameOwner{Epoch: b.epoch})
+	b.commit()
 }
 
 func (b *bench) step(e Event)              { b.take(b.p.Step(b.now, e)) }
@@ -258,6 +259,9 @@
 		b.sync("w1", "i1", ends(e))
 		b.commit()
 		b.c.Assert(b.replies, qt.HasLen, 0)
+		_, again := b.syncs["w1"]
+		b.c.Assert(again, qt.IsFalse, qt.Commentf("the worker would answer at once with the same end"))
+		b.pass(ackHold)
 		b.c.Assert(b.syncs["w1"].Request.Acknowledged, qt.HasLen, 0)
 	}
 	b.sync("w1", "i1", ends(end(id, api.EndDone, "bond")))
@@ -345,6 +349,135 @@
 	b.c.Assert(b.status("k"), qt.Equals, api.StateDone)
 }
 
+// Guards against a refusal by a later process being taken as evidence about the one that
+// was addressed.
+func TestRefusalOfAnotherIncarnationIsNoEvidence(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	b.submit("k", once)
+	b.commit()
+	b.step(SyncFailed{Worker: "w1", Sequence: b.syncs["w1"].Sequence})
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i2", URL: "u", Pool: "blue"}})
+	b.sync("w1", "i2", ends(end(b.send[0].Dispatch.Task, api.EndRefused, "")))
+	b.commit()
+	b.c.Assert(b.status("k"), qt.Equals, api.StateUnknown)
+}
+
+// Guards against placing work on a worker that has not reported to the new owner, and
+// against beginning with another account than the worker's own.
+func TestNoPlacementBeforeFirstReport(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	b.own()
+	b.submit("k", nil)
+	b.commit()
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue", Slots: 1}})
+	b.c.Assert(b.send, qt.HasLen, 0)
+	b.c.Assert(b.syncs["w1"].Request.EchoToken, qt.Equals, int64(0))
+	foreign := api.TaskID{RequestKey: key("other"), Attempt: 1}
+	b.sync("w1", "i1", func(r *api.SyncResponse) {
+		r.Running, r.Capacity = []api.TaskID{foreign}, &api.Resources{MilliCPU: 1000}
+	})
+	b.c.Assert(b.send, qt.HasLen, 0)
+	b.c.Assert(b.stops, qt.HasLen, 1)
+	b.sync("w1", "i1", nil)
+	b.c.Assert(b.send, qt.HasLen, 1)
+	b.c.Assert(b.syncs["w1"].Request.EchoToken, qt.Equals, b.token)
+}
+
+// Guards against a dispatch outside the account: the worker is lost, which drops its
+// reservations, and returns while the claim is being committed.
+func TestClaimOutlivesReservation(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	b.submit("k", once)
+	b.take(b.p.Apply(b.now, b.log[0]))
+	b.log = b.log[1:] // the claim is left
+	b.step(SyncFailed{Worker: "w1", Sequence: b.syncs["w1"].Sequence})
+	b.pass(3 * time.Second)
+	b.worker("w1", "i1")
+	b.commit()
+	b.c.Assert(b.send, qt.HasLen, 0)
+	b.pass(retryBase)
+	b.commit()
+	b.c.Assert(b.send, qt.HasLen, 1)
+	b.c.Assert(b.p.Stats().Scheduler.Running, qt.Equals, 1)
+}
+
+// Guards against a late announcement of an unknown process cutting off a live worker, and
+// against missing one that moved.
+func TestAnnouncedProcessIsTriedWhenSyncsFail(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	fail := func() { b.step(SyncFailed{Worker: "w1", Sequence: b.syncs["w1"].Sequence}) }
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i2", URL: "http://moved", Pool: "blue", Slots: 1}})
+	b.c.Assert(b.syncs["w1"].URL, qt.Equals, "http://w1")
+	fail()
+	b.pass(syncRetry)
+	b.c.Assert(b.syncs["w1"].URL, qt.Equals, "http://moved")
+	fail()
+	b.pass(syncRetry)
+	b.c.Assert(b.syncs["w1"].URL, qt.Equals, "http://w1")
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i2", URL: "http://moved", Pool: "blue", Slots: 1}})
+	fail()
+	b.pass(syncRetry)
+	b.sync("w1", "i2", nil)
+	b.c.Assert(b.syncs["w1"].URL, qt.Equals, "http://moved")
+	b.c.Assert(b.p.Workers(b.now)[0].State, qt.Equals, "ready")
+}
+
+// Guards against running tasks missing in the account when the worker reports them before
+// the announcement of its process arrives.
+func TestReportBeforeAnnouncementIsInTheAccount(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i2")
+	_, id := b.started("k", nil)
+	b.own()
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue", Slots: 8}})
+	b.sync("w1", "i2", running(id))
+	b.c.Assert(b.p.Stats().Scheduler.Workers, qt.Equals, 0)
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i2", URL: "u", Pool: "blue", Slots: 8}})
+	b.c.Assert(b.p.Stats().Scheduler, qt.Equals, SchedulerStats{Running: 1, Workers: 1})
+}
+
+// Guards against a batch of a former owner that reaches the log after its successor's.
+func TestBatchOfOlderEpochHasNoEffect(t *testing.T) {
+	b := newBench(t)
+	b.submit("k", nil)
+	stale := b.log[0]
+	b.own()
+	b.take(b.p.Apply(b.now, stale))
+	b.c.Assert(b.p.Stats().Records, qt.Equals, 0)
+}
+
+// Guards against a snapshot that loses state or is taken over from another format.
+func TestSnapshotRestores(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	b.started("k", once)
+	b.submit("k2", nil)
+	b.cancel("k2")
+	b.commit()
+	copied := New(Config{}, newFirstFit)
+	b.c.Assert(copied.Restore(b.p.Snapshot()), qt.IsNil)
+	b.c.Assert(copied.Snapshot(), qt.DeepEquals, b.p.Snapshot())
+	b.c.Assert(copied.Restore([]byte("x")), qt.IsNotNil)
+	b.c.Assert(copied.Restore(encode(snapshot{Version: 2})), qt.IsNotNil)
+	b.c.Assert(b.p.Restore(b.p.Snapshot()), qt.IsNotNil, qt.Commentf("restored while owner"))
+}
+
+// Guards against calls that are left without an answer when the ownership ends, or that
+// reach a replica that is not the owner.
+func TestLostOwnershipAnswersCalls(t *testing.T) {
+	b := newBench(t)
+	w := b.submit("k", nil)
+	b.step(LostOwnership{})
+	b.c.Assert(b.replies[w].Err.Code, qt.Equals, api.CodeUnknownResult)
+	late := b.submit("k", nil)
+	b.c.Assert(b.replies[late].Err.Code, qt.Equals, api.CodeUnavailable)
+	b.c.Assert(b.replies[late].Err.NotRun, qt.IsFalse)
+}
+
 // Guards against acting beside a newer owner.
 func TestHigherEpochEndsOwnership(t *testing.T) {
 	b := newBench(t)
@@ -569,7 +702,7 @@
 	b := newBench(t)
 	w := b.submit("k", func(s *Submit) { s.WaitUntil = 0 })
 	b.log = nil
-	b.step(ProposeFailed{Sequence: b.epoch<<sequenceBits + 1})
+	b.step(ProposeFailed{Sequence: b.epoch<<sequenceBits + 2})
 	b.c.Assert(b.log, qt.HasLen, 0)
 	b.pass(proposeRetry)
 	b.commit()
--- a/partition/snapshot.go
+++ b/partition/snapshot.go
@@ -1,8 +1,6 @@
 package partition
 
 import (
-	"slices"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/pkg/errors"
@@ -17,11 +15,18 @@
 	Version   int       `cbor:"1,keyasint"`
 	NextIndex uint64    `cbor:"2,keyasint"`
 	Records   []*record `cbor:"3,keyasint"`
+	Epoch     uint64    `cbor:"4,keyasint"`
 }
 
 // Snapshot returns the records in CBOR.
 func (p *Partition) Snapshot() []byte {
-	return encode(snapshot{Version: snapshotVersion, NextIndex: p.nextIndex, Records: p.sortedRecords()})
+	records := make([]*record, 0, len(p.records))
+	for _, r := range p.ordered {
+		if !r.dropped {
+			records = append(records, r)
+		}
+	}
+	return encode(snapshot{Version: snapshotVersion, NextIndex: p.nextIndex, Records: records, Epoch: p.epoch})
 }
 
 // Restore replaces the records by those of a snapshot. It returns an error and changes
@@ -41,25 +46,11 @@
 	if s.Version != snapshotVersion {
 		return errors.Errorf("partition: snapshot version %d, want %d", s.Version, snapshotVersion)
 	}
-	p.nextIndex = s.NextIndex
+	p.nextIndex, p.epoch = s.NextIndex, s.Epoch
+	p.ordered, p.dropped = s.Records, 0
 	p.records = make(map[api.RequestKey]*record, len(s.Records))
 	for _, r := range s.Records {
 		p.records[r.Spec.Key] = r
 	}
 	return nil
 }
-
-// sortedRecords returns the records in the order of acceptance.
-func (p *Partition) sortedRecords() []*record {
-	records := make([]*record, 0, len(p.records))
-	for _, r := range p.records {
-		records = append(records, r)
-	}
-	slices.SortFunc(records, func(a, b *record) int {
-		if a.Index < b.Index {
-			return -1
-		}
-		return 1
-	})
-	return records
-}
--- a/partition/sync.go
+++ b/partition/sync.go
@@ -9,14 +9,18 @@
 
 // startSync sends a sync unless one is outstanding. It grants the task lease.
 func (o *owner) startSync(now time.Duration, w *workerState) {
-	if w.syncing || w.ann.URL == "" {
+	url := w.ann.URL
+	if w.failing && w.candidate.URL != "" {
+		url = w.candidate.URL
+	}
+	if w.syncing || url == "" {
 		return
 	}
 	o.log.syncs++
-	w.syncing, w.syncSequence, w.syncSentAt = true, o.log.syncs, now
+	w.syncing, w.syncSequence, w.syncSentAt, w.syncURL = true, o.log.syncs, now, url
 	w.echoedAt = max(w.echoedAt, w.tokenAt)
 	w.ackSent = len(w.acks)
-	o.emit(SendSync{Worker: w.name, URL: w.ann.URL, Sequence: w.syncSequence, Request: api.SyncRequest{
+	o.emit(SendSync{Worker: w.name, URL: url, Sequence: w.syncSequence, Request: api.SyncRequest{
 		Partition: o.p.cfg.Name, Epoch: o.epoch, EchoToken: w.token, EchoIncarnation: w.incarnation,
 		LeaseMillis: api.Millis(o.p.cfg.TaskLease), Acknowledged: slices.Clone(w.acks),
 		WaitMillis: api.Millis(syncWait),
@@ -46,6 +50,9 @@
 
 // failSync stops new placements on a worker; its tasks keep their lease.
 func (o *owner) failSync(now time.Duration, w *workerState) {
+	if w.failing && w.syncURL == w.candidate.URL {
+		w.candidate = api.Announcement{} // it has been tried
+	}
 	w.syncing, w.failing = false, true
 	w.nextSyncAt = now + syncRetry
 	o.refresh(now, w)
@@ -85,8 +92,11 @@
 		w.capacity = *r.Capacity
 	}
 	o.enterScheduler(now, w)
+	w.openEnds = 0
 	for i := range r.Ended {
-		o.ended(now, w, &r.Ended[i])
+		if !o.ended(now, w, &r.Ended[i]) {
+			w.openEnds++
+		}
 	}
 	o.takeRunning(now, w, r)
 	o.takeMissing(now, w, r)
@@ -98,15 +108,15 @@
 	o.refresh(now, w)
 }
 
-// scheduleSync sends the next sync at once, unless ends of this answer are about to be
-// committed, whose acknowledgements it then carries, or the announcement of the
-// worker's new incarnation is missing: the worker announces itself only while no sync
-// reaches it.
+// scheduleSync sends the next sync at once, except in two cases. If ends of this answer
+// cannot be acknowledged yet, it waits for their commit, since the worker would answer at
+// once with the same ends. If the announcement of the worker's new incarnation is
+// missing, it pauses, since the worker announces itself only while no sync reaches it.
 func (o *owner) scheduleSync(now time.Duration, w *workerState) {
 	switch {
 	case w.ann.Incarnation != w.incarnation:
 		w.nextSyncAt = now + o.certainLease
-	case w.pendingEnds > 0:
+	case w.openEnds > 0:
 		w.nextSyncAt = now + ackHold
 	default:
 		o.startSync(now, w)
--- a/partition/types.go
+++ b/partition/types.go
@@ -136,8 +136,11 @@
 // Action is something the embedder has to do. The concrete types are below.
 type Action interface{ isAction() }
 
-// Propose adds Data (an encoded command batch) to the group's log.
+// Propose adds Data (an encoded command batch) to the group's log. It may enter the log
+// only in the term that equals Epoch; the embedder answers ProposeFailed or drops it
+// otherwise.
 type Propose struct {
+	Epoch    uint64
 	Sequence uint64
 	Data     []byte
 }
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -12,7 +12,7 @@
 type workerState struct {
 	name string
 	// ann is the announcement in use. candidate is one of another incarnation, which
-	// counts once a sync is answered by that incarnation.
+	// counts once a sync is answered by that incarnation; its URL is tried when syncs fail.
 	ann       api.Announcement
 	candidate api.Announcement
 	announced time.Duration // when the last announcement came
@@ -31,8 +31,10 @@
 	capacity  api.Resources
 	// attempts are those without a confirmed end.
 	attempts []*attempt
-	// pendingEnds counts reported ends whose records are not committed.
+	// pendingEnds counts reported ends whose records are not committed; openEnds is how
+	// many ends of the last answer could not be acknowledged.
 	pendingEnds int
+	openEnds    int
 	// acks are the ends to acknowledge; the first ackSent are in the outstanding sync.
 	acks      []api.TaskID
 	ackSent   int
@@ -48,6 +50,7 @@
 	syncing      bool // a sync is outstanding
 	syncSequence uint64
 	syncSentAt   time.Duration
+	syncURL      string
 	nextSyncAt   time.Duration
 }
 
@@ -73,12 +76,15 @@
 		return
 	}
 	w.announced = now
-	if a.Incarnation != w.incarnation && w.synced && !w.failing {
+	if a.Incarnation != w.incarnation && w.synced {
 		w.candidate = *a
+		if w.failing {
+			o.startSync(now, w)
+		}
 		return
 	}
 	w.ann = *a
-	if w.synced && a.Incarnation == w.incarnation {
+	if w.synced {
 		w.leaving = w.leaving || a.Leaving
 		o.enterScheduler(now, w)
 	}
@@ -103,6 +109,10 @@
 		o.sched.UpsertWorker(now, d)
 		o.decideDue = true
 	}
+	// Tasks may have been reported before the announcement that describes the worker.
+	for _, a := range w.attempts {
+		o.reserve(now, a)
+	}
 	o.refresh(now, w)
 }
 
--- a/partition/worker_model_test.go
+++ b/partition/worker_model_test.go
@@ -27,7 +27,6 @@
 	ends        []api.TaskEnd
 	known       map[api.TaskID]string
 	lastSync    time.Duration
-	reported    int // ends that a response has carried
 }
 
 // run calls fn when the worker can act; what it must stop is stopped first.
@@ -97,7 +96,7 @@
 	w.running, w.order = map[api.TaskID]api.Dispatch{}, nil
 	w.starts++
 	w.incarnation = fmt.Sprintf("%s-%d", w.name, w.starts)
-	w.epoch, w.leaseEnd, w.leaving, w.pausedUntil, w.reported = 0, 0, false, 0, 0
+	w.epoch, w.leaseEnd, w.leaving, w.pausedUntil = 0, 0, false, 0
 	w.clock = w.s.newClock()
 	w.s.at(w.s.now+down, func() {
 		w.up, w.lastSync = true, w.s.now-time.Second
@@ -132,6 +131,9 @@
 	until := time.Duration(d.Token+d.LeaseMillis) * ms
 	if d.Incarnation != w.incarnation || w.local() > until || w.s.chance(w.s.refusals) {
 		w.known[d.Task] = api.DispatchRefused
+		if w.s.chance(4 * w.s.refusals) {
+			w.ends = append(w.ends, end(d.Task, api.EndRefused, ""))
+		}
 		return w.response(api.DispatchRefused, 0)
 	}
 	w.leaseEnd = max(w.leaseEnd, until)
@@ -202,7 +204,7 @@
 }
 
 func (w *modelWorker) report(q api.SyncRequest) *api.SyncResponse {
-	r := &api.SyncResponse{Worker: w.name, Incarnation: w.incarnation, Token: int64(w.local()/ms) + 1, Leaving: w.leaving}
+	r := &api.SyncResponse{Worker: w.name, Incarnation: w.incarnation, Leaving: w.leaving}
 	r.Token = max(int64(w.local()/ms), 1)
 	if q.Epoch < w.epoch {
 		r.StaleEpoch = w.epoch
