partition: bound the pending log, ignore workers of other partitions

Cause: without a quorum, new requests would fill the memory; a worker whose pool has another home could be taken into two accounts. Change: refuse new requests at 32 MiB of commands that wait for the log; ignore announcements for pools that the tables give to another partition.

--- a/partition/config.go
+++ b/partition/config.go
@@ -10,6 +10,9 @@
 	// batchTarget is the size in bytes at which a batch is closed. One command with a
 	// body or answer of up to 1 MiB travels alone.
 	batchTarget = 512 << 10
+	// maxPending is the size in bytes of commands waiting for the log at which new
+	// requests are refused.
+	maxPending = 32 << 20
 	// proposeRetry is the pause after ProposeFailed.
 	proposeRetry = 50 * time.Millisecond
 	// syncWait is how long a worker may hold a sync call when it has no news.
--- a/partition/propose.go
+++ b/partition/propose.go
@@ -12,6 +12,7 @@
 // proposer collects commands and turns them into few log entries (group commit).
 type proposer struct {
 	pending  []cbor.RawMessage
+	size     int // of pending, in bytes
 	sequence uint64
 	// inFlight holds the batches that are proposed and not applied, oldest first.
 	inFlight  []batch
@@ -24,7 +25,9 @@
 
 // propose queues a command for the next batch.
 func (o *owner) propose(c command) {
-	o.log.pending = append(o.log.pending, encode(c))
+	data := encode(c)
+	o.log.pending = append(o.log.pending, data)
+	o.log.size += len(data)
 }
 
 // flush proposes what is pending, in at most maxInFlight batches.
@@ -37,6 +40,7 @@
 	for len(g.pending) > 0 && len(g.inFlight) < maxInFlight && now >= g.notBefore {
 		n := batchLength(g.pending)
 		o.proposeBatch(g.pending[:n:n])
+		g.size -= sizeOf(g.pending[:n])
 		g.pending = g.pending[n:]
 	}
 	if len(g.pending) == 0 {
@@ -44,6 +48,15 @@
 	}
 }
 
+// sizeOf returns the size of commands in bytes.
+func sizeOf(commands []cbor.RawMessage) int {
+	size := 0
+	for _, c := range commands {
+		size += len(c)
+	}
+	return size
+}
+
 // proposeBatch proposes one log entry.
 func (o *owner) proposeBatch(commands []cbor.RawMessage) {
 	o.log.sequence++
@@ -91,6 +104,7 @@
 		return
 	}
 	o.log.pending = append(append([]cbor.RawMessage(nil), b.Commands...), o.log.pending...)
+	o.log.size += sizeOf(b.Commands)
 	o.log.fence = o.log.fence || len(b.Commands) == 0
 	o.log.notBefore = now + proposeRetry
 }
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -726,6 +726,28 @@
 	b.c.Assert(b.p.Stats().Waiters, qt.Equals, 0)
 }
 
+// Guards against memory filling up while the log takes nothing.
+func TestPendingLogIsBounded(t *testing.T) {
+	b := newBench(t)
+	big := func(s *Submit) { s.Request.Body = make([]byte, api.MaxBodyBytes) }
+	var last WaiterID
+	for i := range maxPending>>20 + maxInFlight + 2 {
+		last = b.submit(string(rune('a'+i)), big)
+	}
+	b.c.Assert(b.replies[last].Err.Code, qt.Equals, api.CodeOverloaded)
+	b.c.Assert(b.replies[last].Err.NotRun, qt.IsTrue)
+	b.commit()
+	b.c.Assert(b.p.owner.log.size, qt.Equals, 0)
+}
+
+// Guards against two partitions taking one worker into their accounts.
+func TestWorkerOfAnotherPartitionIsIgnored(t *testing.T) {
+	b := newBench(t)
+	b.step(TablesChanged{Tables: api.Tables{Pools: []api.Pool{{Name: "blue", Home: "south"}}}})
+	b.step(Announced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue"}})
+	b.c.Assert(b.syncs, qt.HasLen, 0)
+}
+
 // Guards against work being rerouted when the tables change under it.
 func TestAcceptedWorkKeepsItsRoute(t *testing.T) {
 	b := newBench(t)
--- a/partition/submit.go
+++ b/partition/submit.go
@@ -44,8 +44,8 @@
 
 // admit checks a new request and proposes its accept.
 func (o *owner) admit(now time.Duration, e *Submit, key api.RequestKey, digest []byte) {
-	if len(o.waiters) >= maxWaiters {
-		err := api.Errorf(api.CodeOverloaded, "%d calls are waiting", len(o.waiters))
+	if len(o.waiters) >= maxWaiters || o.log.size >= maxPending {
+		err := api.Errorf(api.CodeOverloaded, "%d calls and %d B of log are waiting", len(o.waiters), o.log.size)
 		err.NotRun, err.RetryAfterMillis = true, api.Millis(time.Second)
 		o.reply(e.Waiter, nil, err)
 		return
--- a/partition/types.go
+++ b/partition/types.go
@@ -174,7 +174,8 @@
 	Command api.TaskCommand
 }
 
-// Reply answers a waiter. Exactly one of Status and Err is set.
+// Reply answers a waiter. Exactly one of Status and Err is set. Status.Answer belongs to
+// the record and must not be changed.
 type Reply struct {
 	Waiter WaiterID
 	Status *api.RequestStatus
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -68,7 +68,7 @@
 // announced takes an announcement. It proves nothing about the incarnation that lives
 // now, since it may be delayed; a sync is started to find out.
 func (o *owner) announced(now time.Duration, a *api.Announcement) {
-	if a.Worker == "" || a.Incarnation == "" || a.URL == "" {
+	if a.Worker == "" || a.Incarnation == "" || a.URL == "" || o.servesElsewhere(a.Pool) {
 		return
 	}
 	w := o.worker(a.Worker)
@@ -91,6 +91,16 @@
 	o.startSync(now, w)
 }
 
+// servesElsewhere reports whether the tables give the pool to another partition.
+func (o *owner) servesElsewhere(pool string) bool {
+	for i := range o.p.tables.Pools {
+		if p := &o.p.tables.Pools[i]; p.Name == pool {
+			return p.Home != o.p.cfg.Name
+		}
+	}
+	return false
+}
+
 // enterScheduler adds a worker to the scheduler or updates it there.
 func (o *owner) enterScheduler(now time.Duration, w *workerState) {
 	if !w.synced || w.ann.Incarnation != w.incarnation {
