--- a/partition/propose.go
+++ b/partition/propose.go
@@ -12,34 +12,59 @@
 // proposer collects commands and turns them into few log entries (group commit).
 type proposer struct {
 	pending  []cbor.RawMessage
+	size     int // of pending, in bytes
 	sequence uint64
 	// inFlight holds the batches that are proposed and not applied, oldest first.
 	inFlight  []batch
 	notBefore time.Duration
-	syncs     uint64 // sequence of the last sync
+	// fence asks for a batch without commands, which makes the log refuse batches of
+	// older epochs.
+	fence bool
+	syncs uint64 // sequence of the last sync
 }
 
 // propose queues a command for the next batch.
 func (o *owner) propose(c command) {
-	o.log.pending = append(o.log.pending, encode(c))
+	data := encode(c)
+	o.log.pending = append(o.log.pending, data)
+	o.log.size += len(data)
 }
 
 // flush proposes what is pending, in at most maxInFlight batches.
 func (o *owner) flush(now time.Duration) {
 	g := &o.log
+	if g.fence && now >= g.notBefore {
+		g.fence = false
+		o.proposeBatch(nil)
+	}
 	for len(g.pending) > 0 && len(g.inFlight) < maxInFlight && now >= g.notBefore {
 		n := batchLength(g.pending)
-		g.sequence++
-		b := batch{Epoch: o.epoch, Sequence: g.sequence, Commands: g.pending[:n:n]}
+		o.proposeBatch(g.pending[:n:n])
+		g.size -= sizeOf(g.pending[:n])
 		g.pending = g.pending[n:]
-		g.inFlight = append(g.inFlight, b)
-		o.emit(Propose{Sequence: b.Sequence, Data: encode(b)})
 	}
 	if len(g.pending) == 0 {
 		g.pending = nil
 	}
 }
 
+// sizeOf returns the size of commands in bytes.
+func sizeOf(commands []cbor.RawMessage) int {
+	size := 0
+	for _, c := range commands {
+		size += len(c)
+	}
+	return size
+}
+
+// proposeBatch proposes one log entry.
+func (o *owner) proposeBatch(commands []cbor.RawMessage) {
+	o.log.sequence++
+	b := batch{Epoch: o.epoch, Sequence: o.log.sequence, Commands: commands}
+	o.log.inFlight = append(o.log.inFlight, b)
+	o.emit(Propose{Epoch: o.epoch, Sequence: b.Sequence, Data: encode(b)})
+}
+
 // batchLength returns how many commands go into one batch, at least one.
 func batchLength(commands []cbor.RawMessage) int {
 	size := 0
@@ -79,5 +104,7 @@
 		return
 	}
 	o.log.pending = append(append([]cbor.RawMessage(nil), b.Commands...), o.log.pending...)
+	o.log.size += sizeOf(b.Commands)
+	o.log.fence = o.log.fence || len(b.Commands) == 0
 	o.log.notBefore = now + proposeRetry
 }
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -12,7 +12,7 @@
 type workerState struct {
 	name string
 	// ann is the announcement in use. candidate is one of another incarnation, which
-	// counts once a sync is answered by that incarnation.
+	// counts once a sync is answered by that incarnation; its URL is tried when syncs fail.
 	ann       api.Announcement
 	candidate api.Announcement
 	announced time.Duration // when the last announcement came
@@ -31,8 +31,10 @@
 	capacity  api.Resources
 	// attempts are those without a confirmed end.
 	attempts []*attempt
-	// pendingEnds counts reported ends whose records are not committed.
+	// pendingEnds counts reported ends whose records are not committed; openEnds is how
+	// many ends of the last answer could not be acknowledged.
 	pendingEnds int
+	openEnds    int
 	// acks are the ends to acknowledge; the first ackSent are in the outstanding sync.
 	acks      []api.TaskID
 	ackSent   int
@@ -48,6 +50,7 @@
 	syncing      bool // a sync is outstanding
 	syncSequence uint64
 	syncSentAt   time.Duration
+	syncURL      string
 	nextSyncAt   time.Duration
 }
 
@@ -65,7 +68,7 @@
 // announced takes an announcement. It proves nothing about the incarnation that lives
 // now, since it may be delayed; a sync is started to find out.
 func (o *owner) announced(now time.Duration, a *api.Announcement) {
-	if a.Worker == "" || a.Incarnation == "" || a.URL == "" {
+	if a.Worker == "" || a.Incarnation == "" || a.URL == "" || o.servesElsewhere(a.Pool) {
 		return
 	}
 	w := o.worker(a.Worker)
@@ -73,18 +76,31 @@
 		return
 	}
 	w.announced = now
-	if a.Incarnation != w.incarnation && w.synced && !w.failing {
+	if a.Incarnation != w.incarnation && w.synced {
 		w.candidate = *a
+		if w.failing {
+			o.startSync(now, w)
+		}
 		return
 	}
 	w.ann = *a
-	if w.synced && a.Incarnation == w.incarnation {
+	if w.synced {
 		w.leaving = w.leaving || a.Leaving
 		o.enterScheduler(now, w)
 	}
 	o.startSync(now, w)
 }
 
+// servesElsewhere reports whether the tables give the pool to another partition.
+func (o *owner) servesElsewhere(pool string) bool {
+	for i := range o.p.tables.Pools {
+		if p := &o.p.tables.Pools[i]; p.Name == pool {
+			return p.Home != o.p.cfg.Name
+		}
+	}
+	return false
+}
+
 // enterScheduler adds a worker to the scheduler or updates it there.
 func (o *owner) enterScheduler(now time.Duration, w *workerState) {
 	if !w.synced || w.ann.Incarnation != w.incarnation {
@@ -103,6 +119,10 @@
 		o.sched.UpsertWorker(now, d)
 		o.decideDue = true
 	}
+	// Tasks may have been reported before the announcement that describes the worker.
+	for _, a := range w.attempts {
+		o.reserve(now, a)
+	}
 	o.refresh(now, w)
 }
 
