--- /dev/null
+++ b/standin/announce.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	announceInterval = time.Second
+	announceTimeout  = 500 * time.Millisecond
+	announcePath     = "/v1/workers/announce"
+)
+
+// announcer tells the entry VMs of the worker. Its state belongs to the goroutine
+// that runs it.
+type announcer struct {
+	w      *Worker
+	client http.Client
+	next   int // index of the entry to try first
+}
+
+// run announces until ctx ends: when kicked, and every second unless a sync has
+// arrived within the last second.
+func (a *announcer) run(ctx context.Context, kick <-chan struct{}) {
+	defer a.client.CloseIdleConnections()
+	ticker := time.NewTicker(a.w.cfg.announceEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-kick:
+		case <-ticker.C:
+			if a.w.current().syncedWithin(announceInterval) {
+				continue
+			}
+		}
+		a.round(ctx)
+	}
+}
+
+// round tries the entries in turn until one takes the announcement.
+func (a *announcer) round(ctx context.Context) {
+	if a.w.faults.get().Freeze {
+		return
+	}
+	body, err := json.Marshal(a.w.announcement())
+	if err != nil {
+		a.w.cfg.Log.Error("encode announcement", zap.Error(err))
+		return
+	}
+	for range a.w.cfg.Entries {
+		entry := a.w.cfg.Entries[a.next%len(a.w.cfg.Entries)]
+		a.next++
+		err := a.post(ctx, entry, body)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		a.w.cfg.Log.Info("announcement failed", zap.String("entry", entry), zap.Error(err))
+	}
+}
+
+func (a *announcer) post(ctx context.Context, entry string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+announcePath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "announcement")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return errors.Errorf("entry answers %s", resp.Status)
+	}
+	return nil
+}
+
+func (l *life) syncedWithin(d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.syncedAt > 0 && l.token()-l.syncedAt < d.Milliseconds()
+}
+
+// announcement describes the present incarnation.
+func (w *Worker) announcement() api.Announcement {
+	l := w.current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := w.cfg
+	return api.Announcement{
+		Worker: c.Worker, Incarnation: l.incarnation, URL: w.url, Pool: c.Pool, Rack: c.Rack,
+		FailureDomain: c.FailureDomain, Region: c.Region, Capacity: c.Capacity,
+		Slots: c.Slots, Connections: c.Connections, Leaving: l.leaving,
+	}
+}
--- /dev/null
+++ b/standin/handler.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// maxRequestBytes bounds the JSON of a call; a body of api.MaxBodyBytes grows by a
+// third in base64.
+const maxRequestBytes = 2*api.MaxBodyBytes + 64<<10
+
+// handler returns the worker's mux.
+func (w *Worker) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/sync", protocol(w, (*life).sync))
+	mux.HandleFunc("POST /v1/tasks", protocol(w, (*life).dispatch))
+	mux.HandleFunc("POST /v1/revoke", protocol(w, (*life).revoke))
+	mux.HandleFunc("POST /v1/stop", protocol(w, (*life).stop))
+	mux.HandleFunc("GET /debug/faults", func(rw http.ResponseWriter, _ *http.Request) {
+		writeJSON(rw, http.StatusOK, w.faults.get())
+	})
+	mux.HandleFunc("POST /debug/faults", w.postFaults)
+	return mux
+}
+
+// protocol makes a handler of one call. The call is carried out even if the caller has
+// gone, as by a process that was paused with the request in its buffers.
+func protocol[Q, R any](w *Worker, call func(*life, Q) (R, error)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var q Q
+		if e := readJSON(r, &q); e != nil {
+			writeJSON(rw, e.Code.HTTPStatus(), e)
+			return
+		}
+		if !w.faults.waitThawed(w.closed) {
+			panic(http.ErrAbortHandler)
+		}
+		answer, err := call(w.current(), q)
+		if !w.faults.waitThawed(w.closed) {
+			panic(http.ErrAbortHandler)
+		}
+		if w.faults.get().DropAnswers || errors.Is(err, errDead) {
+			panic(http.ErrAbortHandler)
+		}
+		var refused *api.Error
+		if errors.As(err, &refused) {
+			writeJSON(rw, refused.Code.HTTPStatus(), refused)
+			return
+		}
+		writeJSON(rw, http.StatusOK, answer)
+	}
+}
+
+func readJSON(r *http.Request, into any) *api.Error {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return api.Errorf(api.CodeBadRequest, "%v", err)
+	}
+	return nil
+}
+
+func writeJSON(rw http.ResponseWriter, status int, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	json.NewEncoder(rw).Encode(v)
+}
+
+// faultsRequest is the body of POST /debug/faults: all switches, and a restart.
+type faultsRequest struct {
+	Faults
+	// Restart is "memory" or "amnesia" to restart at once with or without reading the
+	// journal; empty for no restart.
+	Restart string `json:"restart,omitempty"`
+}
+
+func (w *Worker) postFaults(rw http.ResponseWriter, r *http.Request) {
+	var q faultsRequest
+	if e := readJSON(r, &q); e != nil {
+		writeJSON(rw, e.Code.HTTPStatus(), e)
+		return
+	}
+	var err error
+	switch q.Restart {
+	case "":
+	case "memory", "amnesia":
+		err = w.Restart(q.Restart == "memory")
+	default:
+		err = api.Errorf(api.CodeBadRequest, "restart is %q", q.Restart)
+	}
+	if err != nil {
+		writeJSON(rw, http.StatusBadRequest, api.Errorf(api.CodeBadRequest, "%v", err))
+		return
+	}
+	w.SetFaults(q.Faults)
+	writeJSON(rw, http.StatusOK, w.faults.get())
+}
--- /dev/null
+++ b/standin/helper_test.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/oleanderchute/oleanderchute/api"
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines and timers that outlive a worker.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const longLease = 3_600_000 // milliseconds
+
+func startWorker(c *qt.C, change func(*Config)) *Worker {
+	cfg := Config{
+		Worker: "w1", Pool: "p", Slots: 2, Connections: 64,
+		Capacity: api.Resources{MilliCPU: 1000, MemoryMB: 100},
+		Journal:  filepath.Join(c.TempDir(), "journal"),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	w, err := Start(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(w.Close)
+	return w
+}
+
+// post makes one call on a connection of its own.
+func post[R any](w *Worker, path string, body any) (R, error) {
+	var r R
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return r, err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
+	resp, err := client.Post(w.URL()+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		var e api.Error
+		if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+			return r, err
+		}
+		return r, &e
+	}
+	return r, json.NewDecoder(resp.Body).Decode(&r)
+}
+
+func taskID(key string, attempt int) api.TaskID {
+	return api.TaskID{RequestKey: api.RequestKey{Caller: "c", Key: key}, Attempt: attempt}
+}
+
+func syncOf(l *life, epoch uint64, acknowledged ...api.TaskID) api.SyncRequest {
+	return api.SyncRequest{Partition: "n", Epoch: epoch, EchoToken: l.token(), EchoIncarnation: l.incarnation,
+		LeaseMillis: longLease, Acknowledged: acknowledged}
+}
+
+func dispatchOf(l *life, key string, body string) api.Dispatch {
+	return api.Dispatch{Task: taskID(key, 1), Partition: "n", Epoch: 1, Token: l.token(), Incarnation: l.incarnation,
+		LeaseMillis: longLease, Resources: api.Resources{MilliCPU: 100}, Body: []byte(body)}
+}
+
+const runLong = `{"run_ms":3600000}`
+
+// awaitEnd syncs until the task has ended.
+func awaitEnd(c *qt.C, l *life, epoch uint64, id api.TaskID) api.TaskEnd {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
+		q := syncOf(l, epoch)
+		q.WaitMillis, q.LeaseMillis = 100, 0
+		r, err := l.sync(q)
+		c.Assert(err, qt.IsNil)
+		for _, e := range r.Ended {
+			if e.Task == id {
+				return e
+			}
+		}
+	}
+	c.Fatalf("%v has not ended", id)
+	return api.TaskEnd{}
+}
--- /dev/null
+++ b/standin/journalread.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// ReadJournal returns the events of a journal in order. An incomplete last line, from
+// a process killed while writing, is left out; any other damage is an error.
+func ReadJournal(path string) ([]Event, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read journal")
+	}
+	var events []Event
+	for i, line := range bytes.Split(data[:wholeLines(data)], []byte("\n")) {
+		if len(line) == 0 {
+			continue
+		}
+		var e Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return nil, errors.Wrapf(err, "%s line %d", path, i+1)
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
+
+// wholeLines returns the length of data up to and with its last line end.
+func wholeLines(data []byte) int { return bytes.LastIndexByte(data, '\n') + 1 }
--- /dev/null
+++ b/standin/property_test.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"pgregory.net/rapid"
+)
+
+// Guards against an answer that says refused for an attempt that starts at any other
+// time, or started for one that never does, over random calls and restarts with
+// memory; G4 and G5 rest on these answers.
+func TestAnswersAgreeWithTheJournal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		must := func(err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		dir, err := os.MkdirTemp("", "standin")
+		must(err)
+		defer os.RemoveAll(dir)
+		path := filepath.Join(dir, "journal")
+		w, err := Start(Config{Worker: "w", Journal: path})
+		must(err)
+		said := map[api.TaskID]string{}
+		var sent []api.Dispatch
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			l := w.current()
+			id := taskID(fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "key")), rapid.IntRange(1, 2).Draw(t, "attempt"))
+			epoch := uint64(rapid.IntRange(1, 3).Draw(t, "epoch"))
+			var r api.DispatchResponse
+			switch rapid.IntRange(0, 5).Draw(t, "call") {
+			case 0:
+				d := dispatchOf(l, "", runLong)
+				d.Task, d.Epoch = id, epoch
+				d.LeaseMillis = rapid.SampledFrom([]int64{0, longLease}).Draw(t, "lease")
+				sent = append(sent, d)
+				r, err = l.dispatch(d)
+			case 1:
+				if len(sent) == 0 {
+					continue
+				}
+				d := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "copy")]
+				id = d.Task
+				r, err = l.dispatch(d)
+			case 2:
+				r, err = l.revoke(api.TaskCommand{Task: id, Epoch: epoch})
+			case 3:
+				r, err = l.stop(api.TaskCommand{Task: id, Epoch: epoch})
+			case 4:
+				_, err = l.sync(syncOf(l, epoch, id))
+			case 5:
+				err = w.Restart(true)
+			}
+			must(err)
+			if r.State == "" || r.State == dispatchUnknown {
+				continue
+			}
+			if before := said[id]; before != "" && before != r.State {
+				t.Fatalf("%v: first %s, then %s", id, before, r.State)
+			}
+			said[id] = r.State
+		}
+		w.Close()
+		events, err := ReadJournal(path)
+		must(err)
+		starts := map[api.TaskID]int{}
+		for _, e := range events {
+			if e.Kind == EventStart {
+				starts[e.Task()]++
+			}
+		}
+		for id, state := range said {
+			if want := map[string]int{api.DispatchStarted: 1}[state]; starts[id] != want {
+				t.Fatalf("%v: said %s, started %d times", id, state, starts[id])
+			}
+		}
+	})
+}
