--- a/standin/announce_test.go
+++ b/standin/announce_test.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// wait returns after the next announcement.
+func (e *entryVM) wait(c *qt.C) {
+	select {
+	case <-e.more:
+	case <-time.After(20 * time.Second):
+		c.Fatal("no announcement")
+	}
+}
+
 func (e *entryVM) last() (api.Announcement, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -53,7 +62,7 @@
 		cfg.announceEvery = 20 * time.Millisecond
 	})
 	for range 3 {
-		<-entry.more
+		entry.wait(c)
 	}
 	a, _ := entry.last()
 	c.Assert(a.Incarnation, qt.Equals, w.Incarnation())
@@ -65,7 +74,7 @@
 	c.Assert(err, qt.IsNil)
 	_, n := entry.last()
 	for now := n; now < n+2; _, now = entry.last() { // one may have been under way
-		<-entry.more
+		entry.wait(c)
 	}
 	entry.mu.Lock()
 	next := entry.at[n+1]
@@ -75,6 +84,8 @@
 	_, err = l.sync(syncOf(l, 1))
 	c.Assert(err, qt.IsNil)
 	c.Assert(w.Leave(context.Background()), qt.IsNil)
+	a, _ = entry.last()
+	c.Assert(a.Leaving, qt.IsTrue) // although it had nothing to wait for
 }
 
 // Guards against a leave that interrupts a task, loses its answer or is not announced.
@@ -86,14 +97,14 @@
 	down := httptest.NewServer(nil)
 	down.Close()
 	w := startWorker(c, func(cfg *Config) { cfg.Entries = []string{down.URL, up.URL}; cfg.announceEvery = time.Hour })
-	<-entry.more
+	entry.wait(c)
 	l := w.current()
 	_, err := l.dispatch(dispatchOf(l, "k", `{"run_ms":50}`))
 	c.Assert(err, qt.IsNil)
 	left := make(chan error, 1)
 	go func() { left <- w.Leave(context.Background()) }()
 	for a, _ := entry.last(); !a.Leaving; a, _ = entry.last() {
-		<-entry.more
+		entry.wait(c)
 	}
 	c.Assert(awaitEnd(c, l, 1, taskID("k", 1)).Kind, qt.Equals, api.EndDone)
 	select {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -23,6 +23,7 @@
 	closed  chan struct{}
 	kick    chan struct{} // asks for an announcement at once
 	cancel  context.CancelFunc
+	once    sync.Once // guards closed
 	wg      sync.WaitGroup
 	conns   atomic.Int64 // open connections
 
@@ -108,6 +109,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.life != nil {
+		if w.life.isDead() {
+			return errDead // closed
+		}
 		w.life.kill()
 	}
 	if memory {
@@ -141,7 +145,9 @@
 func (w *Worker) Leave(ctx context.Context) error {
 	l := w.current()
 	l.setLeaving(true)
-	w.announceNow()
+	a := announcer{w: w}
+	a.round(ctx)
+	a.client.CloseIdleConnections()
 	err := l.waitIdle(ctx)
 	if err == nil {
 		// Let the sync that brought the last acknowledgement be answered.
@@ -192,15 +198,12 @@
 // Close ends the worker as the death of its process would: tasks end without a trace
 // in the journal and connections are closed.
 func (w *Worker) Close() {
-	select {
-	case <-w.closed:
-		return
-	default:
-	}
-	close(w.closed)
-	w.cancel()
-	w.current().kill()
-	w.server.Close()
-	w.wg.Wait()
-	w.journal.close()
+	w.once.Do(func() {
+		close(w.closed)
+		w.cancel()
+		w.current().kill()
+		w.server.Close()
+		w.wg.Wait()
+		w.journal.close()
+	})
 }
--- a/transport/peer_test.go
+++ b/transport/peer_test.go
@@ -74,6 +74,25 @@
 	c.Assert(p.BytesReceived() > 0 && p.BytesReceived() < size, qt.IsTrue)
 }
 
+// Guards against a connection that is replaced because it is slow: the delay is well
+// above that between regions, but below the ping timeout.
+func TestDelayIsNotSilence(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s, _ := startServer(c, ServerOptions{})
+	proxy := startProxy(c, s.Addr().String())
+	addToxic(c, proxy, `{"type":"latency","attributes":{"latency":200}}`)
+	var dials atomic.Int32
+	p := startPeer(c, "", PeerOptions{PingInterval: 20 * time.Millisecond, Dial: func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		return net.Dial("tcp", proxy.Listen)
+	}})
+	for range 5 {
+		c.Assert(p.Call(context.Background(), "Test.Mark", &NumberArgs{1}, &NumberArgs{}), qt.IsNil)
+	}
+	c.Assert(dials.Load(), qt.Equals, int32(1))
+}
+
 // Guards against ErrNotSent for a call that was executed: calls with random short
 // deadlines run over slow connections that are cut again and again.
 func TestNotSentWasNotExecuted(t *testing.T) {
