--- a/standin/announce.go
+++ b/standin/announce.go
@@ -28,7 +28,7 @@
 
 // run announces until ctx ends: when kicked, and every second unless a sync has
 // arrived within the last second.
-func (a *announcer) run(ctx context.Context, kick <-chan struct{}) {
+func (a *announcer) run(ctx context.Context, announceSoon <-chan struct{}) {
 	defer a.client.CloseIdleConnections()
 	ticker := time.NewTicker(a.w.cfg.announceEvery)
 	defer ticker.Stop()
@@ -36,7 +36,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-kick:
+		case <-announceSoon:
 		case <-ticker.C:
 			if a.w.current().syncedWithin(announceInterval) {
 				continue
@@ -86,21 +86,21 @@
 	return nil
 }
 
-func (l *life) syncedWithin(d time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.syncedAt > 0 && l.token()-l.syncedAt < d.Milliseconds()
+func (inc *incarnation) syncedWithin(d time.Duration) bool {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	return inc.syncedAt > 0 && inc.token()-inc.syncedAt < d.Milliseconds()
 }
 
 // announcement describes the present incarnation.
 func (w *Worker) announcement() api.Announcement {
-	l := w.current()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	inc := w.current()
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
 	c := w.cfg
 	return api.Announcement{
-		Worker: c.Worker, Incarnation: l.incarnation, URL: w.url, Pool: c.Pool, Rack: c.Rack,
+		Worker: c.Worker, Incarnation: inc.id, URL: w.url, Pool: c.Pool, Rack: c.Rack,
 		FailureDomain: c.FailureDomain, Region: c.Region, Capacity: c.Capacity,
-		Slots: c.Slots, Connections: c.Connections, Leaving: l.leaving,
+		Slots: c.Slots, Connections: c.Connections, Leaving: inc.leaving,
 	}
 }
--- a/standin/announce_test.go
+++ b/standin/announce_test.go
@@ -68,9 +68,9 @@
 	c.Assert(a.Incarnation, qt.Equals, w.Incarnation())
 	c.Assert(a.URL, qt.Equals, w.URL())
 
-	l := w.current()
+	inc := w.current()
 	synced := time.Now()
-	_, err := l.sync(syncOf(l, 1))
+	_, err := inc.sync(syncOf(inc, 1))
 	c.Assert(err, qt.IsNil)
 	_, n := entry.last()
 	for now := n; now < n+2; _, now = entry.last() { // one may have been under way
@@ -81,7 +81,7 @@
 	entry.mu.Unlock()
 	c.Assert(next.Sub(synced) >= announceInterval*9/10, qt.IsTrue, qt.Commentf("%v", next.Sub(synced)))
 
-	_, err = l.sync(syncOf(l, 1))
+	_, err = inc.sync(syncOf(inc, 1))
 	c.Assert(err, qt.IsNil)
 	c.Assert(w.Leave(context.Background()), qt.IsNil)
 	a, _ = entry.last()
@@ -98,21 +98,21 @@
 	down.Close()
 	w := startWorker(c, func(cfg *Config) { cfg.Entries = []string{down.URL, up.URL}; cfg.announceEvery = time.Hour })
 	entry.wait(c)
-	l := w.current()
-	_, err := l.dispatch(dispatchOf(l, "k", `{"run_ms":50}`))
+	inc := w.current()
+	_, err := inc.dispatch(dispatchOf(inc, "k", `{"run_ms":50}`))
 	c.Assert(err, qt.IsNil)
 	left := make(chan error, 1)
 	go func() { left <- w.Leave(context.Background()) }()
 	for a, _ := entry.last(); !a.Leaving; a, _ = entry.last() {
 		entry.wait(c)
 	}
-	c.Assert(awaitEnd(c, l, 1, taskID("k", 1)).Kind, qt.Equals, api.EndDone)
+	c.Assert(awaitEnd(c, inc, 1, taskID("k", 1)).Kind, qt.Equals, api.EndDone)
 	select {
 	case err := <-left:
 		c.Fatalf("left before the end was acknowledged: %v", err)
 	default:
 	}
-	_, err = l.sync(syncOf(l, 1, taskID("k", 1)))
+	_, err = inc.sync(syncOf(inc, 1, taskID("k", 1)))
 	c.Assert(err, qt.IsNil)
 	c.Assert(<-left, qt.IsNil)
 }
--- a/standin/dispatch.go
+++ b/standin/dispatch.go
@@ -9,112 +9,112 @@
 // dispatchUnknown is the state for an attempt about which the worker can say nothing.
 const dispatchUnknown = "unknown_task"
 
-func (l *life) response(state, reason string) api.DispatchResponse {
-	return api.DispatchResponse{State: state, Reason: reason, Incarnation: l.incarnation, Token: l.token()}
+func (inc *incarnation) response(state, reason string) api.DispatchResponse {
+	return api.DispatchResponse{State: state, Reason: reason, Incarnation: inc.id, Token: inc.token()}
 }
 
 // known answers for an attempt that the worker knows. It comes before all other
 // checks, since a task that has started must never be called refused.
-func (t *task) known(l *life) api.DispatchResponse {
+func (t *task) known(inc *incarnation) api.DispatchResponse {
 	if t.state == taskRefused {
-		return l.response(api.DispatchRefused, t.end.Reason)
+		return inc.response(api.DispatchRefused, t.end.Reason)
 	}
-	return l.response(api.DispatchStarted, string(t.end.Kind))
+	return inc.response(api.DispatchStarted, string(t.end.Kind))
 }
 
 // dispatch starts a task or refuses it.
-func (l *life) dispatch(d api.Dispatch) (api.DispatchResponse, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.isDead() {
-		return api.DispatchResponse{}, errDead
+func (inc *incarnation) dispatch(d api.Dispatch) (api.DispatchResponse, error) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	if inc.hasEnded() {
+		return api.DispatchResponse{}, errEnded
 	}
-	if t := l.tasks[d.Task]; t != nil {
-		return t.known(l), nil
+	if t := inc.tasks[d.Task]; t != nil {
+		return t.known(inc), nil
 	}
-	if d.Incarnation != l.incarnation && !l.recalls {
+	if d.Incarnation != inc.id && !inc.hasReplayed {
 		// A former incarnation may have started it, so "refused" could be false.
-		return l.response(dispatchUnknown, "other incarnation"), nil
+		return inc.response(dispatchUnknown, "other incarnation"), nil
 	}
-	stale := l.seeEpoch(d.Partition, d.Epoch)
-	if reason := l.refusal(d, stale); reason != "" {
-		l.refuse(d.Task, d.Epoch, reason, true)
-		r := l.response(api.DispatchRefused, reason)
+	stale := inc.seeEpoch(d.Partition, d.Epoch)
+	if reason := inc.refusal(d, stale); reason != "" {
+		inc.refuse(d.Task, d.Epoch, reason, true)
+		r := inc.response(api.DispatchRefused, reason)
 		r.StaleEpoch = stale
 		return r, nil
 	}
-	if err := l.startTask(d); err != nil {
-		l.refuse(d.Task, d.Epoch, "journal", true)
-		return l.response(api.DispatchRefused, "journal"), nil
+	if err := inc.startTask(d); err != nil {
+		inc.refuse(d.Task, d.Epoch, "journal", true)
+		return inc.response(api.DispatchRefused, "journal"), nil
 	}
-	return l.response(api.DispatchStarted, ""), nil
+	return inc.response(api.DispatchStarted, ""), nil
 }
 
 // refusal returns why a dispatch must be refused, or "".
-func (l *life) refusal(d api.Dispatch, stale uint64) string {
-	now := l.token()
+func (inc *incarnation) refusal(d api.Dispatch, stale uint64) string {
+	now := inc.token()
 	switch {
-	case d.Incarnation != l.incarnation:
+	case d.Incarnation != inc.id:
 		return "other incarnation"
 	case stale > 0:
 		return "stale epoch"
 	case d.Token < 1 || d.Token > now || now >= d.Token+d.LeaseMillis:
 		return "expired"
-	case l.leaving:
+	case inc.leaving:
 		return "leaving"
-	case l.faults.get().Refuse:
+	case inc.faults.get().Refuse:
 		return "fault"
-	case !l.takeOwner(d.Partition):
-		return "owned by partition " + l.owner
+	case !inc.takeOwner(d.Partition):
+		return "owned by partition " + inc.owner
 	}
 	return ""
 }
 
 // startTask journals and starts a task; mu must be held.
-func (l *life) startTask(d api.Dispatch) error {
-	l.inUse = l.inUse.Add(d.Resources)
-	l.running++
-	if err := l.record(Event{Kind: EventStart, Epoch: d.Epoch}, d.Task); err != nil {
-		l.inUse = l.inUse.Sub(d.Resources)
-		l.running--
+func (inc *incarnation) startTask(d api.Dispatch) error {
+	inc.inUse = inc.inUse.Add(d.Resources)
+	inc.running++
+	if err := inc.record(Event{Kind: EventStart, Epoch: d.Epoch}, d.Task); err != nil {
+		inc.inUse = inc.inUse.Sub(d.Resources)
+		inc.running--
 		return err
 	}
 	// The owner counts a dispatch like a lease: both may run until token + lease.
-	l.extendLease(d.Token, d.LeaseMillis)
+	inc.extendLease(d.Token, d.LeaseMillis)
 	t := &task{dispatch: d, program: parseProgram(d.Body), started: time.Now()}
-	l.tasks[d.Task] = t
-	run := t.program.runTime(l.cfg.DefaultRun) + time.Duration(l.faults.get().SlowMillis)*time.Millisecond
-	t.timer = time.AfterFunc(run, func() { l.finish(d.Task) })
+	inc.tasks[d.Task] = t
+	run := t.program.runTime(inc.cfg.DefaultRun) + time.Duration(inc.faults.get().SlowMillis)*time.Millisecond
+	t.timer = time.AfterFunc(run, func() { inc.finish(d.Task) })
 	return nil
 }
 
 // finish ends a task that has run for its time.
-func (l *life) finish(id api.TaskID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	t := l.tasks[id]
-	if l.isDead() || t == nil || t.state != taskRunning {
+func (inc *incarnation) finish(id api.TaskID) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	t := inc.tasks[id]
+	if inc.hasEnded() || t == nil || t.state != taskRunning {
 		return
 	}
-	if l.token() >= l.leaseEnd {
-		l.stopTask(id, t, reasonLeaseEnd)
+	if inc.token() >= inc.leaseEnd {
+		inc.stopTask(id, t, reasonLeaseEnd)
 		return
 	}
 	end := api.TaskEnd{Kind: api.EndDone, Answer: t.program.answer(t.dispatch.Body)}
-	if t.program.Fail || l.faults.get().FailAll {
+	if t.program.Fail || inc.faults.get().FailAll {
 		end = api.TaskEnd{Kind: api.EndFailed, Reason: "task failed"}
 	}
-	l.closeTask(id, t, end, Event{Kind: EventEnd, Reason: string(end.Kind), Epoch: t.dispatch.Epoch})
+	inc.closeTask(id, t, end, Event{Kind: EventEnd, Reason: string(end.Kind), Epoch: t.dispatch.Epoch})
 }
 
 // refuse remembers that an attempt will never start. If report is true, each sync says
 // so until it is acknowledged, since the answer may get lost. mu must be held.
-func (l *life) refuse(id api.TaskID, epoch uint64, reason string, report bool) {
+func (inc *incarnation) refuse(id api.TaskID, epoch uint64, reason string, report bool) {
 	end := api.TaskEnd{Task: id, Kind: api.EndRefused, Reason: reason}
 	setAnswer(&end, nil)
-	l.tasks[id] = &task{state: taskRefused, end: end, reported: report, closedAt: time.Now()}
-	l.record(Event{Kind: EventRefuse, Reason: reason, Epoch: epoch}, id)
+	inc.tasks[id] = &task{state: taskRefused, end: end, reported: report, closedAt: time.Now()}
+	inc.record(Event{Kind: EventRefuse, Reason: reason, Epoch: epoch}, id)
 	if report {
-		l.notify()
+		inc.notify()
 	}
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -19,14 +19,14 @@
 
 // faultSwitch holds the present faults and lets calls wait for the end of a freeze.
 type faultSwitch struct {
-	mu     sync.Mutex // guards the fields below
-	faults Faults
-	thawed chan struct{} // closed while there is no freeze
+	mu       sync.Mutex // guards the fields below
+	faults   Faults
+	unfrozen chan struct{} // closed while there is no freeze
 }
 
 func newFaultSwitch(f Faults) *faultSwitch {
-	s := &faultSwitch{thawed: make(chan struct{})}
-	close(s.thawed)
+	s := &faultSwitch{unfrozen: make(chan struct{})}
+	close(s.unfrozen)
 	s.set(f)
 	return s
 }
@@ -35,10 +35,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if f.Freeze && !s.faults.Freeze {
-		s.thawed = make(chan struct{})
+		s.unfrozen = make(chan struct{})
 	}
 	if !f.Freeze && s.faults.Freeze {
-		close(s.thawed)
+		close(s.unfrozen)
 	}
 	s.faults = f
 }
@@ -49,13 +49,13 @@
 	return s.faults
 }
 
-// waitThawed returns false if stop ends before the freeze does.
-func (s *faultSwitch) waitThawed(stop <-chan struct{}) bool {
+// waitUnfrozen returns false if stop ends before the freeze does.
+func (s *faultSwitch) waitUnfrozen(stop <-chan struct{}) bool {
 	s.mu.Lock()
-	thawed := s.thawed
+	unfrozen := s.unfrozen
 	s.mu.Unlock()
 	select {
-	case <-thawed:
+	case <-unfrozen:
 		return true
 	case <-stop:
 		return false
--- a/standin/handler.go
+++ b/standin/handler.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/pkg/errors"
 )
 
 // maxRequestBytes bounds the JSON of a call; a body of api.MaxBodyBytes grows by a
@@ -16,10 +16,10 @@
 // handler returns the worker's mux.
 func (w *Worker) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/sync", protocol(w, (*life).sync))
-	mux.HandleFunc("POST /v1/tasks", protocol(w, (*life).dispatch))
-	mux.HandleFunc("POST /v1/revoke", protocol(w, (*life).revoke))
-	mux.HandleFunc("POST /v1/stop", protocol(w, (*life).stop))
+	mux.HandleFunc("POST /v1/sync", protocol(w, (*incarnation).sync))
+	mux.HandleFunc("POST /v1/tasks", protocol(w, (*incarnation).dispatch))
+	mux.HandleFunc("POST /v1/revoke", protocol(w, (*incarnation).revoke))
+	mux.HandleFunc("POST /v1/stop", protocol(w, (*incarnation).stop))
 	mux.HandleFunc("GET /debug/faults", func(rw http.ResponseWriter, _ *http.Request) {
 		writeJSON(rw, http.StatusOK, w.faults.get())
 	})
@@ -29,21 +29,21 @@
 
 // protocol makes a handler of one call. The call is carried out even if the caller has
 // gone, as by a process that was paused with the request in its buffers.
-func protocol[Q, R any](w *Worker, call func(*life, Q) (R, error)) http.HandlerFunc {
+func protocol[Q, R any](w *Worker, call func(*incarnation, Q) (R, error)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var q Q
 		if e := readJSON(r, &q); e != nil {
 			writeJSON(rw, e.Code.HTTPStatus(), e)
 			return
 		}
-		if !w.faults.waitThawed(w.closed) {
+		if !w.faults.waitUnfrozen(w.closed) {
 			panic(http.ErrAbortHandler)
 		}
 		answer, err := call(w.current(), q)
-		if !w.faults.waitThawed(w.closed) {
+		if !w.faults.waitUnfrozen(w.closed) {
 			panic(http.ErrAbortHandler)
 		}
-		if w.faults.get().DropAnswers || errors.Is(err, errDead) {
+		if w.faults.get().DropAnswers || errors.Is(err, errEnded) {
 			panic(http.ErrAbortHandler)
 		}
 		var refused *api.Error
--- a/standin/helper_test.go
+++ b/standin/helper_test.go
@@ -60,24 +60,24 @@
 	return api.TaskID{RequestKey: api.RequestKey{Caller: "c", Key: key}, Attempt: attempt}
 }
 
-func syncOf(l *life, epoch uint64, acknowledged ...api.TaskID) api.SyncRequest {
-	return api.SyncRequest{Partition: "n", Epoch: epoch, EchoToken: l.token(), EchoIncarnation: l.incarnation,
+func syncOf(inc *incarnation, epoch uint64, acknowledged ...api.TaskID) api.SyncRequest {
+	return api.SyncRequest{Partition: "n", Epoch: epoch, EchoToken: inc.token(), EchoIncarnation: inc.id,
 		LeaseMillis: longLease, Acknowledged: acknowledged}
 }
 
-func dispatchOf(l *life, key string, body string) api.Dispatch {
-	return api.Dispatch{Task: taskID(key, 1), Partition: "n", Epoch: 1, Token: l.token(), Incarnation: l.incarnation,
+func dispatchOf(inc *incarnation, key string, body string) api.Dispatch {
+	return api.Dispatch{Task: taskID(key, 1), Partition: "n", Epoch: 1, Token: inc.token(), Incarnation: inc.id,
 		LeaseMillis: longLease, Resources: api.Resources{MilliCPU: 100}, Body: []byte(body)}
 }
 
 const runLong = `{"run_ms":3600000}`
 
 // awaitEnd syncs until the task has ended.
-func awaitEnd(c *qt.C, l *life, epoch uint64, id api.TaskID) api.TaskEnd {
+func awaitEnd(c *qt.C, inc *incarnation, epoch uint64, id api.TaskID) api.TaskEnd {
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
-		q := syncOf(l, epoch)
+		q := syncOf(inc, epoch)
 		q.WaitMillis, q.LeaseMillis = 100, 0
-		r, err := l.sync(q)
+		r, err := inc.sync(q)
 		c.Assert(err, qt.IsNil)
 		for _, e := range r.Ended {
 			if e.Task == id {
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -15,7 +15,7 @@
 
 // The kinds of event.
 const (
-	EventBoot   EventKind = "boot"   // a new incarnation; the tasks of the former are dead
+	EventBoot   EventKind = "boot"   // a new incarnation; the tasks of the former have ended
 	EventStart  EventKind = "start"  // a task starts
 	EventEnd    EventKind = "end"    // a task ran to its end, done or failed
 	EventStop   EventKind = "stop"   // a task was stopped
--- a/standin/property_test.go
+++ b/standin/property_test.go
@@ -29,30 +29,30 @@
 		said := map[api.TaskID]string{}
 		var sent []api.Dispatch
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			l := w.current()
+			inc := w.current()
 			id := taskID(fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "key")), rapid.IntRange(1, 2).Draw(t, "attempt"))
 			epoch := uint64(rapid.IntRange(1, 3).Draw(t, "epoch"))
 			var r api.DispatchResponse
 			switch rapid.IntRange(0, 5).Draw(t, "call") {
 			case 0:
-				d := dispatchOf(l, "", runLong)
+				d := dispatchOf(inc, "", runLong)
 				d.Task, d.Epoch = id, epoch
 				d.LeaseMillis = rapid.SampledFrom([]int64{0, longLease}).Draw(t, "lease")
 				sent = append(sent, d)
-				r, err = l.dispatch(d)
+				r, err = inc.dispatch(d)
 			case 1:
 				if len(sent) == 0 {
 					continue
 				}
 				d := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "copy")]
 				id = d.Task
-				r, err = l.dispatch(d)
+				r, err = inc.dispatch(d)
 			case 2:
-				r, err = l.revoke(api.TaskCommand{Task: id, Epoch: epoch})
+				r, err = inc.revoke(api.TaskCommand{Task: id, Epoch: epoch})
 			case 3:
-				r, err = l.stop(api.TaskCommand{Task: id, Epoch: epoch})
+				r, err = inc.stop(api.TaskCommand{Task: id, Epoch: epoch})
 			case 4:
-				_, err = l.sync(syncOf(l, epoch, id))
+				_, err = inc.sync(syncOf(inc, epoch, id))
 			case 5:
 				err = w.Restart(true)
 			}
--- a/standin/recall.go
+++ b/standin/replay.go
@@ -10,10 +10,10 @@
 // that started and whose end was not acknowledged is reported as stopped, since its
 // answer is lost; a refused attempt stays refused. Epochs are not taken over: a
 // dispatch of a former owner names a former incarnation and is refused for that.
-func (l *life) recall(events []Event, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.recalls = true
+func (inc *incarnation) replayJournal(events []Event, now time.Time) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	inc.hasReplayed = true
 	for _, e := range events {
 		if now.Sub(e.time()) > rememberFor {
 			continue
@@ -23,13 +23,13 @@
 		case EventStart:
 			end := api.TaskEnd{Task: id, Kind: api.EndStopped, Reason: reasonRestart}
 			setAnswer(&end, nil)
-			l.tasks[id] = &task{state: taskEnded, end: end, reported: true, closedAt: now}
+			inc.tasks[id] = &task{state: taskEnded, end: end, reported: true, closedAt: now}
 		case EventRefuse:
 			end := api.TaskEnd{Task: id, Kind: api.EndRefused, Reason: e.Reason}
 			setAnswer(&end, nil)
-			l.tasks[id] = &task{state: taskRefused, end: end, closedAt: now}
+			inc.tasks[id] = &task{state: taskRefused, end: end, closedAt: now}
 		case EventAck:
-			if t := l.tasks[id]; t != nil {
+			if t := inc.tasks[id]; t != nil {
 				t.reported = false
 			}
 		}
--- a/standin/sync.go
+++ b/standin/sync.go
@@ -12,79 +12,79 @@
 
 // sync grants the lease, takes acknowledgements, and answers at once if there is news,
 // otherwise after the wait that the request allows.
-func (l *life) sync(r api.SyncRequest) (api.SyncResponse, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.isDead() {
-		return api.SyncResponse{}, errDead
+func (inc *incarnation) sync(r api.SyncRequest) (api.SyncResponse, error) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	if inc.hasEnded() {
+		return api.SyncResponse{}, errEnded
 	}
-	stale := l.seeEpoch(r.Partition, r.Epoch)
+	stale := inc.seeEpoch(r.Partition, r.Epoch)
 	if stale > 0 {
-		return l.staleResponse(stale), nil
+		return inc.staleResponse(stale), nil
 	}
-	if !l.takeOwner(r.Partition) {
-		return api.SyncResponse{}, api.Errorf(api.CodeUnavailable, "worker is leased to partition %s", l.owner)
+	if !inc.takeOwner(r.Partition) {
+		return api.SyncResponse{}, api.Errorf(api.CodeUnavailable, "worker is leased to partition %s", inc.owner)
 	}
-	l.grant(r)
-	timer := time.NewTimer(min(time.Duration(max(r.WaitMillis, 0))*time.Millisecond, l.cfg.syncWait))
+	inc.grant(r)
+	timer := time.NewTimer(min(time.Duration(max(r.WaitMillis, 0))*time.Millisecond, inc.cfg.syncWait))
 	defer timer.Stop()
 	for {
-		if seen := l.epochs[r.Partition]; r.Epoch < seen {
-			return l.staleResponse(seen), nil
+		if seen := inc.epochs[r.Partition]; r.Epoch < seen {
+			return inc.staleResponse(seen), nil
 		}
-		if l.hasNews(r) || !l.await(timer.C) {
+		if inc.hasNews(r) || !inc.await(timer.C) {
 			break
 		}
 	}
-	if l.isDead() {
-		return api.SyncResponse{}, errDead
+	if inc.hasEnded() {
+		return api.SyncResponse{}, errEnded
 	}
-	return l.syncResponse(), nil
+	return inc.syncResponse(), nil
 }
 
 // await gives up mu until something changes. It returns false when the timer has
 // fired or the incarnation has ended.
-func (l *life) await(timer <-chan time.Time) bool {
-	changed := l.changed
-	l.mu.Unlock()
-	defer l.mu.Lock()
+func (inc *incarnation) await(timer <-chan time.Time) bool {
+	changed := inc.changed
+	inc.mu.Unlock()
+	defer inc.mu.Lock()
 	select {
 	case <-changed:
 		return true
 	case <-timer:
-	case <-l.dead:
+	case <-inc.ended:
 	}
 	return false
 }
 
-func (l *life) grant(r api.SyncRequest) {
-	l.syncedAt = l.token()
-	if r.EchoIncarnation == l.incarnation {
-		l.extendLease(r.EchoToken, r.LeaseMillis)
+func (inc *incarnation) grant(r api.SyncRequest) {
+	inc.syncedAt = inc.token()
+	if r.EchoIncarnation == inc.id {
+		inc.extendLease(r.EchoToken, r.LeaseMillis)
 	}
 	for _, id := range r.Acknowledged {
-		t := l.tasks[id]
+		t := inc.tasks[id]
 		if t == nil || !t.reported {
 			continue
 		}
 		t.reported, t.end.Answer, t.dispatch.Body = false, nil, nil
 		t.closedAt = time.Now()
-		l.record(Event{Kind: EventAck}, id)
+		inc.record(Event{Kind: EventAck}, id)
 	}
-	l.notify() // Leave waits for acknowledgements
+	inc.notify() // Leave waits for acknowledgements
 }
 
 // hasNews reports whether the owner lacks something: the token of this incarnation, or
 // an end or the leaving flag that it cannot have received, because its echoed token is
 // older than the answer that held it.
-func (l *life) hasNews(r api.SyncRequest) bool {
-	if r.EchoIncarnation != l.incarnation || r.EchoToken == 0 {
+func (inc *incarnation) hasNews(r api.SyncRequest) bool {
+	if r.EchoIncarnation != inc.id || r.EchoToken == 0 {
 		return true
 	}
-	if l.leaving && (l.leavingSent == 0 || r.EchoToken < l.leavingSent || l.idle()) {
+	if inc.leaving && (inc.leavingSent == 0 || r.EchoToken < inc.leavingSent || inc.idle()) {
 		return true
 	}
-	for _, t := range l.tasks {
+	for _, t := range inc.tasks {
 		if t.reported && (t.sent == 0 || r.EchoToken < t.sent) {
 			return true
 		}
@@ -92,23 +92,23 @@
 	return false
 }
 
-func (l *life) staleResponse(seen uint64) api.SyncResponse {
-	return api.SyncResponse{Worker: l.cfg.Worker, Incarnation: l.incarnation, Token: l.token(), StaleEpoch: seen}
+func (inc *incarnation) staleResponse(seen uint64) api.SyncResponse {
+	return api.SyncResponse{Worker: inc.cfg.Worker, Incarnation: inc.id, Token: inc.token(), StaleEpoch: seen}
 }
 
 // syncResponse lists all running tasks and all ends that are not acknowledged. The
 // list is always whole, because an attempt missing from it counts as never run.
-func (l *life) syncResponse() api.SyncResponse {
-	r := l.staleResponse(0)
-	r.Leaving = l.leaving
-	if l.leaving {
-		l.leavingSent = r.Token
+func (inc *incarnation) syncResponse() api.SyncResponse {
+	r := inc.staleResponse(0)
+	r.Leaving = inc.leaving
+	if inc.leaving {
+		inc.leavingSent = r.Token
 	}
-	for id, t := range l.tasks {
+	for id, t := range inc.tasks {
 		switch {
 		case t.state == taskRunning:
 			r.Running = append(r.Running, id)
-			if time.Since(t.started) >= l.cfg.UsageDelay {
+			if time.Since(t.started) >= inc.cfg.UsageDelay {
 				r.Usage = append(r.Usage, api.TaskUse{Task: id, Used: t.used()})
 			}
 		case t.reported:
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -15,20 +15,20 @@
 
 // Worker is a running stand-in.
 type Worker struct {
-	cfg     Config
-	url     string
-	faults  *faultSwitch
-	journal *journal
-	server  *http.Server
-	closed  chan struct{}
-	kick    chan struct{} // asks for an announcement at once
-	cancel  context.CancelFunc
-	once    sync.Once // guards closed
-	wg      sync.WaitGroup
-	conns   atomic.Int64 // open connections
-
-	mu   sync.Mutex // guards life
-	life *life
+	cfg          Config
+	url          string
+	faults       *faultSwitch
+	journal      *journal
+	server       *http.Server
+	closed       chan struct{}
+	announceSoon chan struct{} // asks for an announcement at once
+	cancel       context.CancelFunc
+	once         sync.Once // guards closed
+	wg           sync.WaitGroup
+	conns        atomic.Int64 // open connections
+
+	mu  sync.Mutex // guards inc
+	inc *incarnation
 }
 
 // Start listens, announces and serves until Close or Leave.
@@ -47,7 +47,7 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	w := &Worker{cfg: cfg, url: cfg.URL, faults: newFaultSwitch(cfg.Faults), journal: j,
-		closed: make(chan struct{}), kick: make(chan struct{}, 1)}
+		closed: make(chan struct{}), announceSoon: make(chan struct{}, 1)}
 	if w.url == "" {
 		w.url = "http://" + listener.Addr().String()
 	}
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
 	w.wg.Go(func() { w.server.Serve(listener) })
-	w.wg.Go(func() { (&announcer{w: w}).run(ctx, w.kick) })
+	w.wg.Go(func() { (&announcer{w: w}).run(ctx, w.announceSoon) })
 }
 
 func (w *Worker) countConn(_ net.Conn, s http.ConnState) {
@@ -74,27 +74,27 @@
 	case http.StateNew:
 		n := int(w.conns.Add(1))
 		if w.cfg.Connections > 0 && n > w.cfg.Connections {
-			l := w.current()
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.record(Event{Kind: EventConnections, Connections: n}, api.TaskID{})
+			inc := w.current()
+			inc.mu.Lock()
+			defer inc.mu.Unlock()
+			inc.record(Event{Kind: EventConnections, Connections: n}, api.TaskID{})
 		}
 	case http.StateClosed, http.StateHijacked:
 		w.conns.Add(-1)
 	}
 }
 
-func (w *Worker) current() *life {
+func (w *Worker) current() *incarnation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.life
+	return w.inc
 }
 
 // URL returns the announced base URL.
 func (w *Worker) URL() string { return w.url }
 
 // Incarnation returns the present incarnation.
-func (w *Worker) Incarnation() string { return w.current().incarnation }
+func (w *Worker) Incarnation() string { return w.current().id }
 
 // SetFaults replaces all fault switches.
 func (w *Worker) SetFaults(f Faults) { w.faults.set(f) }
@@ -102,39 +102,39 @@
 // Restart ends the present incarnation with all its tasks, as the death of the process
 // would, and begins a new one. With memory the journal is read.
 func (w *Worker) Restart(memory bool) error {
-	next, err := newLife(w.cfg, w.faults, w.journal)
+	next, err := newIncarnation(w.cfg, w.faults, w.journal)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.life != nil {
-		if w.life.isDead() {
-			return errDead // closed
+	if w.inc != nil {
+		if w.inc.hasEnded() {
+			return errEnded // closed
 		}
-		w.life.kill()
+		w.inc.terminate()
 	}
 	if memory {
 		events, err := ReadJournal(w.cfg.Journal)
 		if err != nil {
 			return err
 		}
-		next.recall(events, time.Now())
+		next.replayJournal(events, time.Now())
 	}
 	if err := next.boot(); err != nil {
 		return err
 	}
-	w.life = next
-	w.wg.Go(next.beat)
+	w.inc = next
+	w.wg.Go(next.writeHeartbeats)
 	w.announceNow()
 	w.cfg.Log.Info("incarnation starts", zap.String("worker", w.cfg.Worker),
-		zap.String("incarnation", next.incarnation), zap.String("url", w.url), zap.Bool("memory", memory))
+		zap.String("incarnation", next.id), zap.String("url", w.url), zap.Bool("memory", memory))
 	return nil
 }
 
 func (w *Worker) announceNow() {
 	select {
-	case w.kick <- struct{}{}:
+	case w.announceSoon <- struct{}{}:
 	default:
 	}
 }
@@ -143,12 +143,12 @@
 // ones have ended and their ends are acknowledged, and closes. If ctx ends first it
 // closes at once and returns the context's error.
 func (w *Worker) Leave(ctx context.Context) error {
-	l := w.current()
-	l.setLeaving(true)
+	inc := w.current()
+	inc.setLeaving(true)
 	a := announcer{w: w}
 	a.round(ctx)
 	a.client.CloseIdleConnections()
-	err := l.waitIdle(ctx)
+	err := inc.waitIdle(ctx)
 	if err == nil {
 		// Let the sync that brought the last acknowledgement be answered.
 		const lastAnswers = time.Second
@@ -160,25 +160,25 @@
 	return err
 }
 
-func (l *life) setLeaving(leaving bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.leaving = leaving
-	l.notify()
+func (inc *incarnation) setLeaving(leaving bool) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	inc.leaving = leaving
+	inc.notify()
 }
 
-func (l *life) waitIdle(ctx context.Context) error {
+func (inc *incarnation) waitIdle(ctx context.Context) error {
 	for {
-		l.mu.Lock()
-		idle, changed := l.idle(), l.changed
-		l.mu.Unlock()
+		inc.mu.Lock()
+		idle, changed := inc.idle(), inc.changed
+		inc.mu.Unlock()
 		if idle {
 			return nil
 		}
 		select {
 		case <-changed:
-		case <-l.dead:
-			return errDead
+		case <-inc.ended:
+			return errEnded
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "tasks or ends remain")
 		}
@@ -186,8 +186,8 @@
 }
 
 // idle must be called with mu held.
-func (l *life) idle() bool {
-	for _, t := range l.tasks {
+func (inc *incarnation) idle() bool {
+	for _, t := range inc.tasks {
 		if t.state == taskRunning || t.reported {
 			return false
 		}
@@ -201,7 +201,7 @@
 	w.once.Do(func() {
 		close(w.closed)
 		w.cancel()
-		w.current().kill()
+		w.current().terminate()
 		w.server.Close()
 		w.wg.Wait()
 		w.journal.close()
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -14,25 +14,25 @@
 // future or older token extends.
 func TestTasksStopAtLeaseEnd(t *testing.T) {
 	c := qt.New(t)
-	l := startWorker(c, nil).current()
-	d := dispatchOf(l, "k", runLong)
+	inc := startWorker(c, nil).current()
+	d := dispatchOf(inc, "k", runLong)
 	d.LeaseMillis = 300
-	r, err := l.dispatch(d)
+	r, err := inc.dispatch(d)
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.State, qt.Equals, api.DispatchStarted)
-	foreign, future := syncOf(l, 1), syncOf(l, 1)
+	foreign, future := syncOf(inc, 1), syncOf(inc, 1)
 	foreign.EchoIncarnation = "other"
 	future.EchoToken += 1_000_000
 	for _, q := range []api.SyncRequest{foreign, future} {
-		_, err := l.sync(q)
+		_, err := inc.sync(q)
 		c.Assert(err, qt.IsNil)
 	}
-	c.Assert(l.leaseEnd, qt.Equals, d.Token+300)
-	end := awaitEnd(c, l, 1, d.Task)
+	c.Assert(inc.leaseEnd, qt.Equals, d.Token+300)
+	end := awaitEnd(c, inc, 1, d.Task)
 	c.Assert(end.Kind, qt.Equals, api.EndStopped)
 	c.Assert(end.Reason, qt.Equals, reasonLeaseEnd)
-	c.Assert(l.token() >= d.Token+300, qt.IsTrue)
-	copied, err := l.dispatch(d)
+	c.Assert(inc.token() >= d.Token+300, qt.IsTrue)
+	copied, err := inc.dispatch(d)
 	c.Assert(err, qt.IsNil)
 	c.Assert(copied.State, qt.Equals, api.DispatchStarted) // it has run
 }
@@ -40,34 +40,34 @@
 // Guards against each dispatch that must be refused being started, and against a
 // refused attempt that a later copy starts.
 func TestDispatchIsRefusedForGood(t *testing.T) {
-	for name, spoil := range map[string]func(*life, *api.Dispatch){
-		"expired":      func(_ *life, d *api.Dispatch) { d.LeaseMillis = 0 },
-		"future token": func(_ *life, d *api.Dispatch) { d.Token += 1_000_000 },
-		"no token":     func(_ *life, d *api.Dispatch) { d.Token = 0 },
-		"stale epoch":  func(_ *life, d *api.Dispatch) { d.Epoch = 0 },
-		"leaving":      func(l *life, _ *api.Dispatch) { l.setLeaving(true) },
-		"refuse fault": func(l *life, _ *api.Dispatch) { l.faults.set(Faults{Refuse: true}) },
-		"revoked":      func(l *life, d *api.Dispatch) { l.revoke(api.TaskCommand{Task: d.Task, Epoch: 1}) },
-		"other owner":  func(_ *life, d *api.Dispatch) { d.Partition = "s" },
+	for name, alter := range map[string]func(*incarnation, *api.Dispatch){
+		"expired":      func(_ *incarnation, d *api.Dispatch) { d.LeaseMillis = 0 },
+		"future token": func(_ *incarnation, d *api.Dispatch) { d.Token += 1_000_000 },
+		"no token":     func(_ *incarnation, d *api.Dispatch) { d.Token = 0 },
+		"stale epoch":  func(_ *incarnation, d *api.Dispatch) { d.Epoch = 0 },
+		"leaving":      func(inc *incarnation, _ *api.Dispatch) { inc.setLeaving(true) },
+		"refuse fault": func(inc *incarnation, _ *api.Dispatch) { inc.faults.set(Faults{Refuse: true}) },
+		"revoked":      func(inc *incarnation, d *api.Dispatch) { inc.revoke(api.TaskCommand{Task: d.Task, Epoch: 1}) },
+		"other owner":  func(_ *incarnation, d *api.Dispatch) { d.Partition = "s" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l := startWorker(c, nil).current()
-			_, err := l.sync(syncOf(l, 1))
+			inc := startWorker(c, nil).current()
+			_, err := inc.sync(syncOf(inc, 1))
 			c.Assert(err, qt.IsNil)
-			good := dispatchOf(l, "k", runLong)
+			good := dispatchOf(inc, "k", runLong)
 			bad := good
-			spoil(l, &bad)
-			r, err := l.dispatch(bad)
+			alter(inc, &bad)
+			r, err := inc.dispatch(bad)
 			c.Assert(err, qt.IsNil)
 			c.Assert(r.State, qt.Equals, api.DispatchRefused)
 			c.Assert(r.StaleEpoch == 1, qt.Equals, name == "stale epoch")
-			l.setLeaving(false)
-			l.faults.set(Faults{})
-			r, err = l.dispatch(good)
+			inc.setLeaving(false)
+			inc.faults.set(Faults{})
+			r, err = inc.dispatch(good)
 			c.Assert(err, qt.IsNil)
 			c.Assert(r.State, qt.Equals, api.DispatchRefused)
-			c.Assert(l.running, qt.Equals, 0)
+			c.Assert(inc.running, qt.Equals, 0)
 		})
 	}
 }
@@ -77,9 +77,9 @@
 func TestEndsAreRepeatedUntilAcknowledged(t *testing.T) {
 	c := qt.New(t)
 	w := startWorker(c, func(cfg *Config) { cfg.syncWait = time.Hour })
-	l := w.current()
-	q := syncOf(l, 1)
-	_, err := l.sync(q)
+	inc := w.current()
+	q := syncOf(inc, 1)
+	_, err := inc.sync(q)
 	c.Assert(err, qt.IsNil)
 	answers := make(chan api.SyncResponse, 1)
 	q.WaitMillis = longLease
@@ -87,7 +87,7 @@
 		r, _ := post[api.SyncResponse](w, "/v1/sync", q)
 		answers <- r
 	}()
-	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(l, "k", `{"run_ms":1,"answer":"plan"}`))
+	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "k", `{"run_ms":1,"answer":"plan"}`))
 	c.Assert(err, qt.IsNil)
 	r := <-answers
 	for r.Ended == nil {
@@ -100,13 +100,13 @@
 		c.Assert(string(r.Ended[0].Answer), qt.Equals, "plan")
 		c.Assert(r.Ended[0].AnswerLength, qt.Equals, 4)
 		c.Assert(r.Ended[0].AnswerDigest, qt.Equals, hex.EncodeToString(sum[:]))
-		r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(l, 1))
+		r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(inc, 1))
 		c.Assert(err, qt.IsNil)
 	}
-	r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(l, 1, taskID("k", 1)))
+	r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(inc, 1, taskID("k", 1)))
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.Ended, qt.HasLen, 0)
-	copied, err := post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(l, "k", ""))
+	copied, err := post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "k", ""))
 	c.Assert(err, qt.IsNil)
 	c.Assert(copied.State, qt.Equals, api.DispatchStarted)
 }
@@ -115,30 +115,30 @@
 // the worker, and against its commands being carried out.
 func TestHigherEpochFencesTheFormerOwner(t *testing.T) {
 	c := qt.New(t)
-	l := startWorker(c, func(cfg *Config) { cfg.syncWait = time.Hour }).current()
-	_, err := l.dispatch(dispatchOf(l, "k", runLong))
+	inc := startWorker(c, func(cfg *Config) { cfg.syncWait = time.Hour }).current()
+	_, err := inc.dispatch(dispatchOf(inc, "k", runLong))
 	c.Assert(err, qt.IsNil)
-	q := syncOf(l, 1)
+	q := syncOf(inc, 1)
 	q.WaitMillis = longLease
 	answers := make(chan api.SyncResponse, 1)
 	go func() {
-		r, _ := l.sync(q)
+		r, _ := inc.sync(q)
 		answers <- r
 	}()
-	for !l.syncedWithin(time.Hour) { // the sync of epoch 1 waits
+	for !inc.syncedWithin(time.Hour) { // the sync of epoch 1 waits
 		time.Sleep(time.Millisecond)
 	}
-	_, err = l.sync(syncOf(l, 2))
+	_, err = inc.sync(syncOf(inc, 2))
 	c.Assert(err, qt.IsNil)
 	c.Assert((<-answers).StaleEpoch, qt.Equals, uint64(2))
-	r, err := l.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 1})
+	r, err := inc.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 1})
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.StaleEpoch, qt.Equals, uint64(2))
-	c.Assert(l.running, qt.Equals, 1)
-	r, err = l.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 2})
+	c.Assert(inc.running, qt.Equals, 1)
+	r, err = inc.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 2})
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.State, qt.Equals, api.DispatchStarted)
-	c.Assert(l.running, qt.Equals, 0)
+	c.Assert(inc.running, qt.Equals, 0)
 }
 
 // Guards against a restart that keeps tasks running, forgets what its journal holds,
@@ -162,18 +162,18 @@
 
 	c.Assert(w.Restart(true), qt.IsNil)
 	_, err = old.sync(syncOf(old, 1))
-	c.Assert(err, qt.ErrorIs, errDead)
-	l := w.current()
-	r, err := l.sync(syncOf(l, 1))
+	c.Assert(err, qt.ErrorIs, errEnded)
+	inc := w.current()
+	r, err := inc.sync(syncOf(inc, 1))
 	c.Assert(err, qt.IsNil)
-	c.Assert(r.Incarnation, qt.Not(qt.Equals), old.incarnation)
+	c.Assert(r.Incarnation, qt.Not(qt.Equals), old.id)
 	c.Assert(r.Running, qt.HasLen, 0)
 	c.Assert(r.Ended, qt.HasLen, 2) // ran and running
 	for _, e := range r.Ended {
 		c.Assert(e.Kind, qt.Equals, api.EndStopped)
 	}
 	for key, state := range map[string]string{"running": api.DispatchStarted, "acked": api.DispatchStarted, "revoked": api.DispatchRefused, "new": api.DispatchRefused} {
-		answer, err := l.revoke(api.TaskCommand{Task: taskID(key, 1), Epoch: 1})
+		answer, err := inc.revoke(api.TaskCommand{Task: taskID(key, 1), Epoch: 1})
 		c.Assert(err, qt.IsNil)
 		c.Assert(answer.State, qt.Equals, state, qt.Commentf(key))
 	}
@@ -188,22 +188,22 @@
 func TestFaultSwitches(t *testing.T) {
 	c := qt.New(t)
 	w := startWorker(c, nil)
-	l := w.current()
+	inc := w.current()
 	_, err := post[Faults](w, "/debug/faults", Faults{DropAnswers: true, FailAll: true})
 	c.Assert(err, qt.IsNil)
-	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(l, "dropped", ""))
+	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "dropped", ""))
 	c.Assert(err, qt.IsNotNil)
-	c.Assert(awaitEnd(c, l, 1, taskID("dropped", 1)).Kind, qt.Equals, api.EndFailed)
+	c.Assert(awaitEnd(c, inc, 1, taskID("dropped", 1)).Kind, qt.Equals, api.EndFailed)
 
 	w.SetFaults(Faults{Freeze: true})
-	late := dispatchOf(l, "late", "")
+	late := dispatchOf(inc, "late", "")
 	late.LeaseMillis = 20
 	answer := make(chan api.DispatchResponse, 1)
 	go func() {
 		r, _ := post[api.DispatchResponse](w, "/v1/tasks", late)
 		answer <- r
 	}()
-	for l.token() < late.Token+late.LeaseMillis {
+	for inc.token() < late.Token+late.LeaseMillis {
 		time.Sleep(time.Millisecond)
 	}
 	w.SetFaults(Faults{})
--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -79,10 +79,30 @@
 	}
 }
 
+// Guards against a torn record that is taken for damage because part of its header
+// reached the disk and part did not.
+func TestTornTailWithHolesIsCut(t *testing.T) {
+	c := qt.New(t)
+	m, dir, lastRecord := savedGroup(c)
+	path := filepath.Join(dir, segment{number: 2}.name())
+	whole, err := m.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	for at := lastRecord; at < len(whole); at++ {
+		for _, n := range []int{1, 4, 8} {
+			torn := append([]byte(nil), whole...)
+			clear(torn[at:min(at+n, len(torn))])
+			m.walk(path).data = torn
+			p := replay{fs: m, dir: dir}
+			_, err := p.run()
+			c.Assert(err, qt.IsNil, qt.Commentf("%d zeros at %d", n, at-lastRecord))
+		}
+	}
+}
+
 // Guards against a missing segment or snapshot that goes unnoticed.
 func TestMissingFilesAreReported(t *testing.T) {
 	snap := raft.Snapshot{Index: 2, Term: 1}
-	for _, name := range []string{segment{number: 2}.name(), segment{number: 3}.name(), snapshotName(mark{Index: 2, Term: 1})} {
+	for _, name := range []string{segment{number: 2}.name(), segment{number: 3}.name(), snapshotName(snapshotRef{Index: 2, Term: 1})} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			m := newMemFS()
--- a/storage/frame.go
+++ b/storage/frame.go
@@ -7,18 +7,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A frame is a header of 24 bytes, little-endian, and a payload:
+// A frame is a header of 32 bytes, little-endian, and a payload:
 //
 //	0  magic     4 bytes
 //	4  length    4 bytes, of the payload
 //	8  sequence  8 bytes, one higher for each record of the group
-//	16 checksum  8 bytes, xxhash64 of bytes 4 to 16 and of the payload
+//	16 checksum  8 bytes, xxhash64 of bytes 4 to 16
+//	24 checksum  8 bytes, xxhash64 of bytes 4 to 16 and of the payload
 //
-// The checksum is seeded with the file's random salt, so bytes of a caller's body
-// never pass for a frame.
+// The checksums are seeded with the file's random salt, so bytes of a caller's body
+// never pass for a frame. The header has its own, so that the length of a torn record
+// can be trusted or not.
 const (
-	frameMagic  = 0x6f6c6472
-	frameHeader = 24
+	frameMagic     = 0x6f6c6472
+	frameHeader    = 32
+	headerSumAt    = 16
+	payloadSumAt   = 24
+	summedHeaderAt = 4
 	// maxFramePayload bounds a record and a snapshot, in bytes.
 	maxFramePayload = 256 << 20
 )
@@ -37,55 +42,60 @@
 	binary.LittleEndian.PutUint32(buf[0:], frameMagic)
 	binary.LittleEndian.PutUint32(buf[4:], uint32(len(buf)-frameHeader))
 	binary.LittleEndian.PutUint64(buf[8:], seq)
-	binary.LittleEndian.PutUint64(buf[16:], frameSum(buf, salt))
+	binary.LittleEndian.PutUint64(buf[headerSumAt:], frameSum(buf, nil, salt))
+	binary.LittleEndian.PutUint64(buf[payloadSumAt:], frameSum(buf, buf[frameHeader:], salt))
 }
 
-func frameSum(buf []byte, salt uint64) uint64 {
+func frameSum(buf, payload []byte, salt uint64) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(salt)
-	d.Write(buf[4:16])
-	d.Write(buf[frameHeader:])
+	d.Write(buf[summedHeaderAt:headerSumAt])
+	d.Write(payload)
 	return d.Sum64()
 }
 
+// hasHeader reports whether buf starts with an undamaged header.
+func hasHeader(buf []byte, salt uint64) bool {
+	return len(buf) >= frameHeader && bytes.HasPrefix(buf, frameMagicBytes) &&
+		binary.LittleEndian.Uint64(buf[headerSumAt:]) == frameSum(buf, nil, salt)
+}
+
 // readFrame decodes the frame at the start of buf; ok is false if there is none that
 // is whole and undamaged. The payload aliases buf.
 func readFrame(buf []byte, salt uint64) (f frame, ok bool) {
-	if len(buf) < frameHeader || !bytes.HasPrefix(buf, frameMagicBytes) {
+	if !hasHeader(buf, salt) {
 		return frame{}, false
 	}
 	end := frameEnd(buf)
 	if end > len(buf) || end > frameHeader+maxFramePayload {
 		return frame{}, false
 	}
-	buf = buf[:end]
-	if binary.LittleEndian.Uint64(buf[16:]) != frameSum(buf, salt) {
+	payload := buf[frameHeader:end]
+	if binary.LittleEndian.Uint64(buf[payloadSumAt:]) != frameSum(buf, payload, salt) {
 		return frame{}, false
 	}
-	return frame{seq: frameSeq(buf), payload: buf[frameHeader:]}, true
+	return frame{seq: frameSeq(buf), payload: payload}, true
 }
 
 func frameEnd(buf []byte) int    { return frameHeader + int(binary.LittleEndian.Uint32(buf[4:])) }
 func frameSeq(buf []byte) uint64 { return binary.LittleEndian.Uint64(buf[8:]) }
 
 // writtenAfter reports whether buf, which starts with an unreadable frame that should
-// have sequence seq, holds traces of a later write.
+// have sequence seq, holds traces of a later write: bytes after the end of the frame,
+// or a later frame.
 func writtenAfter(buf []byte, salt, seq uint64) bool {
-	if len(buf) >= frameHeader && bytes.HasPrefix(buf, frameMagicBytes) &&
-		frameSeq(buf) == seq && frameEnd(buf) < len(buf) {
+	if hasHeader(buf, salt) && frameEnd(buf) < len(buf) {
 		return true
 	}
-	limit := seq + uint64(len(buf)/frameHeader)
-	for at := 1; ; at++ {
-		i := bytes.Index(buf[min(at, len(buf)):], frameMagicBytes)
+	for at := 1; at < len(buf); at++ {
+		i := bytes.Index(buf[at:], frameMagicBytes)
 		if i < 0 {
 			return false
 		}
 		at += i
-		if rest := buf[at:]; len(rest) >= frameHeader && frameSeq(rest) > seq && frameSeq(rest) <= limit {
-			if _, ok := readFrame(rest, salt); ok {
-				return true
-			}
+		if rest := buf[at:]; hasHeader(rest, salt) && frameSeq(rest) > seq {
+			return true
 		}
 	}
+	return false
 }
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -29,8 +29,6 @@
 type FS interface {
 	// Create opens a new, empty file for appending; an existing file is emptied.
 	Create(path string) (File, error)
-	// Append opens an existing file for appending.
-	Append(path string) (File, error)
 	ReadFile(path string) ([]byte, error)
 	// ReadDir returns the sorted names in a folder.
 	ReadDir(path string) ([]string, error)
@@ -59,11 +57,6 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, filePerm)
 }
 
-// Append implements FS.
-func (OS) Append(path string) (File, error) {
-	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, filePerm)
-}
-
 // ReadFile implements FS.
 func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
--- a/storage/group.go
+++ b/storage/group.go
@@ -104,7 +104,7 @@
 	if g.file, err = writeFile(g.fs, p.path(*g.active()), p.tail); err != nil {
 		return raft.Recovered{}, err
 	}
-	if err := removeStale(g.fs, g.dir, g.state.mark); err != nil {
+	if err := removeStale(g.fs, g.dir, g.state.snapshot); err != nil {
 		g.file.Close()
 		return raft.Recovered{}, err
 	}
@@ -169,7 +169,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if snap != nil {
-		r.Mark = &mark{Index: snap.Index, Term: snap.Term, Keep: g.state.holds(snap.Index, snap.Term)}
+		r.Snapshot = &snapshotRef{Index: snap.Index, Term: snap.Term, Keep: g.state.holds(snap.Index, snap.Term)}
 	}
 	return g.append(r)
 }
@@ -178,7 +178,7 @@
 func (g *Group) Snapshot() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.mark.Index
+	return g.state.snapshot.Index
 }
 
 // saveSnapshot writes the file without holding mu, so that entries can be saved
@@ -210,7 +210,7 @@
 	if g.failed != nil {
 		return g.failed
 	}
-	if r.Hard == nil && len(r.Entries) == 0 && r.Mark == nil {
+	if r.Hard == nil && len(r.Entries) == 0 && r.Snapshot == nil {
 		return nil
 	}
 	if err := g.state.check(r); err != nil {
@@ -288,7 +288,7 @@
 	if g.failed != nil {
 		return g.failed
 	}
-	for len(g.segments) > 1 && g.segments[0].maxIndex <= g.state.mark.Index {
+	for len(g.segments) > 1 && g.segments[0].maxIndex <= g.state.snapshot.Index {
 		path := filepath.Join(g.dir, g.segments[0].name())
 		if err := g.fs.Remove(path); err != nil {
 			return g.fail(diskError(opRemove, path, err))
@@ -300,7 +300,7 @@
 		}
 		g.segments = g.segments[1:]
 	}
-	return g.fail(removeStale(g.fs, g.dir, g.state.mark))
+	return g.fail(removeStale(g.fs, g.dir, g.state.snapshot))
 }
 
 // Close releases the folder. It syncs nothing, since each Save has.
--- a/storage/logstate.go
+++ b/storage/logstate.go
@@ -10,8 +10,8 @@
 // logState is what the log amounts to after a sequence of records, without the
 // entries themselves. Replay and live saves share it.
 type logState struct {
-	hard raft.HardState
-	mark mark
+	hard     raft.HardState
+	snapshot snapshotRef
 	// The segments at hand hold the entries in (floor, last]. Those up to floor were
 	// in dropped segments; the snapshot must cover them.
 	floor, last uint64
@@ -23,23 +23,23 @@
 
 // start sets the state from the checkpoint of the oldest segment.
 func (s *logState) start(c checkpoint) {
-	last := max(c.LastIndex, c.Mark.Index)
-	*s = logState{hard: c.Hard, mark: c.Mark, floor: last, last: last}
+	last := max(c.LastIndex, c.Snapshot.Index)
+	*s = logState{hard: c.Hard, snapshot: c.Snapshot, floor: last, last: last}
 }
 
 func (s *logState) checkpoint() checkpoint {
-	return checkpoint{Hard: s.hard, Mark: s.mark, LastIndex: s.last}
+	return checkpoint{Hard: s.hard, Snapshot: s.snapshot, LastIndex: s.last}
 }
 
 // check returns ErrInvalid if the record does not fit the state.
 func (s *logState) check(r record) error {
-	base, last := s.mark.Index, s.last
-	if r.Mark != nil {
-		if r.Mark.Index <= base {
-			return errors.Wrapf(ErrInvalid, "snapshot at %d after one at %d", r.Mark.Index, base)
+	base, last := s.snapshot.Index, s.last
+	if r.Snapshot != nil {
+		if r.Snapshot.Index <= base {
+			return errors.Wrapf(ErrInvalid, "snapshot at %d after one at %d", r.Snapshot.Index, base)
 		}
-		base = r.Mark.Index
-		if !r.Mark.Keep {
+		base = r.Snapshot.Index
+		if !r.Snapshot.Keep {
 			last = base
 		}
 	}
@@ -59,8 +59,8 @@
 	if r.Hard != nil {
 		s.hard = *r.Hard
 	}
-	if r.Mark != nil {
-		s.applyMark(*r.Mark)
+	if r.Snapshot != nil {
+		s.applySnapshot(*r.Snapshot)
 	}
 	if len(r.Entries) == 0 {
 		return
@@ -75,8 +75,8 @@
 	s.last = first + uint64(len(r.Entries)) - 1
 }
 
-func (s *logState) applyMark(m mark) {
-	s.mark = m
+func (s *logState) applySnapshot(m snapshotRef) {
+	s.snapshot = m
 	if !m.Keep {
 		s.floor, s.last, s.runs = m.Index, m.Index, nil
 		return
--- a/storage/memfs_test.go
+++ b/storage/memfs_test.go
@@ -69,8 +69,6 @@
 	return &memFile{m, p.now[name], path}, nil
 }
 
-func (m *memFS) Append(path string) (File, error) { return nil, fs.ErrInvalid }
-
 func (m *memFS) ReadFile(path string) ([]byte, error) {
 	leave, err := m.enter(opRead, path)
 	if err != nil {
@@ -219,6 +217,10 @@
 	if !n.dir {
 		data := append([]byte(nil), n.synced...)
 		data = append(data, n.data[len(n.synced):len(n.synced)+pick(len(n.data)-len(n.synced))]...)
+		// Blocks reach the disk in any order, so there may be a hole of zeros.
+		hole := data[len(n.synced):]
+		hole = hole[pick(len(hole)):]
+		clear(hole[:pick(len(hole))])
 		return &memNode{data: data, synced: data}
 	}
 	out := newDirNode()
--- a/storage/memory.go
+++ b/storage/memory.go
@@ -25,8 +25,8 @@
 		return ErrClosed
 	}
 	r := record{Hard: hs, Entries: entries}
-	if snap != nil && snap.Index > m.state.mark.Index {
-		r.Mark = &mark{Index: snap.Index, Term: snap.Term, Keep: m.state.holds(snap.Index, snap.Term)}
+	if snap != nil && snap.Index > m.state.snapshot.Index {
+		r.Snapshot = &snapshotRef{Index: snap.Index, Term: snap.Term, Keep: m.state.holds(snap.Index, snap.Term)}
 	}
 	if err := m.state.check(r); err != nil {
 		return err
--- a/storage/record.go
+++ b/storage/record.go
@@ -13,13 +13,13 @@
 type record struct {
 	Hard       *raft.HardState `cbor:"1,keyasint,omitempty"`
 	Entries    []raft.Entry    `cbor:"2,keyasint,omitempty"`
-	Mark       *mark           `cbor:"3,keyasint,omitempty"`
+	Snapshot   *snapshotRef    `cbor:"3,keyasint,omitempty"`
 	Checkpoint *checkpoint     `cbor:"4,keyasint,omitempty"`
 }
 
-// mark puts a snapshot in force. Its file is durable before the mark is written, and
-// a snapshot file without a mark is ignored.
-type mark struct {
+// snapshotRef puts a snapshot in force. Its file is durable before the
+// reference is written, and a file without a reference is ignored.
+type snapshotRef struct {
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
 	// Keep is true if the log held the entry of the snapshot, so that the entries
@@ -31,7 +31,7 @@
 // so that the segments before it can be dropped.
 type checkpoint struct {
 	Hard      raft.HardState `cbor:"1,keyasint"`
-	Mark      mark           `cbor:"2,keyasint"`
+	Snapshot  snapshotRef    `cbor:"2,keyasint"`
 	LastIndex uint64         `cbor:"3,keyasint"`
 }
 
--- a/storage/replay.go
+++ b/storage/replay.go
@@ -40,7 +40,7 @@
 }
 
 func (p *replay) recovered() (raft.Recovered, error) {
-	m := p.state.mark
+	m := p.state.snapshot
 	if p.state.floor > m.Index {
 		reason := fmt.Sprintf("entries %d to %d are missing", m.Index+1, p.state.floor)
 		return raft.Recovered{}, &CorruptError{File: p.path(p.segments[0]), Reason: reason}
@@ -126,10 +126,10 @@
 
 // applyEntries keeps p.entries equal to the entries in (floor, last] of the state.
 func (p *replay) applyEntries(r record) {
-	if r.Mark != nil && !r.Mark.Keep {
+	if r.Snapshot != nil && !r.Snapshot.Keep {
 		p.entries = nil
-	} else if r.Mark != nil {
-		p.dropThrough(r.Mark.Index)
+	} else if r.Snapshot != nil {
+		p.dropThrough(r.Snapshot.Index)
 	}
 	if len(r.Entries) == 0 {
 		return
--- a/storage/snapshot.go
+++ b/storage/snapshot.go
@@ -14,17 +14,17 @@
 	tmpSuffix      = ".tmp"
 )
 
-func snapshotName(m mark) string {
+func snapshotName(m snapshotRef) string {
 	return fmt.Sprintf("%s%016x-%016x", snapshotPrefix, m.Index, m.Term)
 }
 
-// writeSnapshot makes a snapshot file durable. It is in force only once a mark is.
+// writeSnapshot makes a snapshot file durable. It is in force only once a record refers to it.
 func writeSnapshot(fs FS, dir string, snap raft.Snapshot) error {
 	var buf bytes.Buffer
 	if err := appendFrame(&buf, snap, snap.Term, snap.Index); err != nil {
 		return err
 	}
-	name := snapshotName(mark{Index: snap.Index, Term: snap.Term})
+	name := snapshotName(snapshotRef{Index: snap.Index, Term: snap.Term})
 	f, err := writeFile(fs, filepath.Join(dir, name), buf.Bytes())
 	if err != nil {
 		return err
@@ -33,8 +33,8 @@
 	return nil
 }
 
-// readSnapshot reads the snapshot that a mark refers to; without a mark there is none.
-func readSnapshot(fs FS, dir string, m mark) (raft.Snapshot, error) {
+// readSnapshot reads the snapshot that is referred to; index 0 means none.
+func readSnapshot(fs FS, dir string, m snapshotRef) (raft.Snapshot, error) {
 	var snap raft.Snapshot
 	if m.Index == 0 {
 		return snap, nil
@@ -56,7 +56,7 @@
 
 // removeStale removes temporary files and the snapshots that are not in force. It
 // must not run while a snapshot is being written.
-func removeStale(fs FS, dir string, m mark) error {
+func removeStale(fs FS, dir string, m snapshotRef) error {
 	names, err := fs.ReadDir(dir)
 	if err != nil {
 		return diskError(opRead, dir, err)
--- a/transport/lane.go
+++ b/transport/lane.go
@@ -14,13 +14,13 @@
 	opts    PeerOptions
 	counter *byteCounter
 
-	mu      sync.Mutex // guards the fields below
-	started bool
-	closed  bool
-	conn    *clientConn   // nil while there is none
-	resting bool          // between a failed dial and the next
-	lastErr error         // of the newest dial
-	changed chan struct{} // closed when conn or resting changes
+	mu         sync.Mutex // guards the fields below
+	started    bool
+	closed     bool
+	conn       *clientConn   // nil while there is none
+	backingOff bool          // between a failed dial and the next
+	lastErr    error         // of the newest dial
+	changed    chan struct{} // closed when conn or backingOff changes
 
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -55,12 +55,12 @@
 	for {
 		l.mu.Lock()
 		l.start()
-		conn, resting, changed, err := l.conn, l.resting, l.changed, l.lastErr
+		conn, backingOff, changed, err := l.conn, l.backingOff, l.changed, l.lastErr
 		l.mu.Unlock()
 		if conn != nil && conn.isOpen() {
 			return conn, nil
 		}
-		if resting {
+		if backingOff {
 			return nil, err
 		}
 		select {
@@ -82,10 +82,10 @@
 	l.wg.Go(l.run)
 }
 
-func (l *lane) set(conn *clientConn, resting bool, err error) {
+func (l *lane) set(conn *clientConn, backingOff bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.resting, l.lastErr = conn, resting, err
+	l.conn, l.backingOff, l.lastErr = conn, backingOff, err
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -108,11 +108,11 @@
 			err = errClosed
 		}
 		l.set(nil, true, err)
-		l.rest(pause.next())
+		l.backOff(pause.next())
 	}
 }
 
-func (l *lane) rest(d time.Duration) {
+func (l *lane) backOff(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/transport/outbox.go
+++ b/transport/outbox.go
@@ -30,13 +30,13 @@
 // outbox holds what waits to be written to one connection: pings and pongs, which go
 // first, and messages in order.
 type outbox struct {
-	mu     sync.Mutex // guards the fields below
-	cond   sync.Cond  // signaled at each change
-	urgent []chunk
-	queue  []*message
-	queued int    // bytes in queue
-	rest   []byte // of the message being written
-	closed bool
+	mu        sync.Mutex // guards the fields below
+	cond      sync.Cond  // signaled at each change
+	urgent    []chunk
+	queue     []*message
+	queued    int    // bytes in queue
+	remaining []byte // of the message being written
+	closed    bool
 	// finish makes the outbox close once it is empty.
 	finish bool
 }
@@ -85,7 +85,7 @@
 	for _, m := range o.queue {
 		m.withdraw()
 	}
-	o.queue, o.rest, o.urgent = nil, nil, nil
+	o.queue, o.remaining, o.urgent = nil, nil, nil
 	o.cond.Broadcast()
 }
 
@@ -108,10 +108,10 @@
 		}
 		o.urgent = o.urgent[:0]
 		for len(buf) < max && o.takeMessage() {
-			n := min(len(o.rest), chunkBytes)
-			buf = chunk{chunkData, n == len(o.rest), uint32(n)}.append(buf)
-			buf = append(buf, o.rest[:n]...)
-			o.rest = o.rest[n:]
+			n := min(len(o.remaining), chunkBytes)
+			buf = chunk{chunkData, n == len(o.remaining), uint32(n)}.append(buf)
+			buf = append(buf, o.remaining[:n]...)
+			o.remaining = o.remaining[n:]
 		}
 		if len(buf) > 0 {
 			return buf, true
@@ -124,9 +124,9 @@
 	}
 }
 
-// takeMessage makes sure that rest is not empty, if there is a message.
+// takeMessage makes sure that remaining is not empty, if there is a message.
 func (o *outbox) takeMessage() bool {
-	for len(o.rest) == 0 {
+	for len(o.remaining) == 0 {
 		if len(o.queue) == 0 {
 			return false
 		}
@@ -136,7 +136,7 @@
 		o.queued -= len(m.data)
 		o.cond.Broadcast()
 		if m.state.CompareAndSwap(messageQueued, messageStarted) {
-			o.rest = m.data
+			o.remaining = m.data
 		}
 	}
 	return true
