--- /dev/null
+++ b/standin/worker_test.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// Guards against a task that outlives its lease, and against a lease that a foreign,
+// future or older token extends.
+func TestTasksStopAtLeaseEnd(t *testing.T) {
+	c := qt.New(t)
+	inc := startWorker(c, nil).current()
+	d := dispatchOf(inc, "k", runLong)
+	d.LeaseMillis = 300
+	r, err := inc.dispatch(d)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.State, qt.Equals, api.DispatchStarted)
+	foreign, future := syncOf(inc, 1), syncOf(inc, 1)
+	foreign.EchoIncarnation = "other"
+	future.EchoToken += 1_000_000
+	for _, q := range []api.SyncRequest{foreign, future} {
+		_, err := inc.sync(q)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(inc.leaseEnd, qt.Equals, d.Token+300)
+	end := awaitEnd(c, inc, 1, d.Task)
+	c.Assert(end.Kind, qt.Equals, api.EndStopped)
+	c.Assert(end.Reason, qt.Equals, reasonLeaseEnd)
+	c.Assert(inc.token() >= d.Token+300, qt.IsTrue)
+	copied, err := inc.dispatch(d)
+	c.Assert(err, qt.IsNil)
+	c.Assert(copied.State, qt.Equals, api.DispatchStarted) // it has run
+}
+
+// Guards against each dispatch that must be refused being started, and against a
+// refused attempt that a later copy starts.
+func TestDispatchIsRefusedForGood(t *testing.T) {
+	for name, alter := range map[string]func(*incarnation, *api.Dispatch){
+		"expired":      func(_ *incarnation, d *api.Dispatch) { d.LeaseMillis = 0 },
+		"future token": func(_ *incarnation, d *api.Dispatch) { d.Token += 1_000_000 },
+		"no token":     func(_ *incarnation, d *api.Dispatch) { d.Token = 0 },
+		"stale epoch":  func(_ *incarnation, d *api.Dispatch) { d.Epoch = 0 },
+		"leaving":      func(inc *incarnation, _ *api.Dispatch) { inc.setLeaving(true) },
+		"refuse fault": func(inc *incarnation, _ *api.Dispatch) { inc.faults.set(Faults{Refuse: true}) },
+		"revoked":      func(inc *incarnation, d *api.Dispatch) { inc.revoke(api.TaskCommand{Task: d.Task, Epoch: 1}) },
+		"other owner":  func(_ *incarnation, d *api.Dispatch) { d.Partition = "s" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			inc := startWorker(c, nil).current()
+			_, err := inc.sync(syncOf(inc, 1))
+			c.Assert(err, qt.IsNil)
+			good := dispatchOf(inc, "k", runLong)
+			bad := good
+			alter(inc, &bad)
+			r, err := inc.dispatch(bad)
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.State, qt.Equals, api.DispatchRefused)
+			c.Assert(r.StaleEpoch == 1, qt.Equals, name == "stale epoch")
+			inc.setLeaving(false)
+			inc.faults.set(Faults{})
+			r, err = inc.dispatch(good)
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.State, qt.Equals, api.DispatchRefused)
+			c.Assert(inc.running, qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against an end that is reported once only or with a wrong digest, and
+// against a sync that waits although there is news.
+func TestEndsAreRepeatedUntilAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	w := startWorker(c, func(cfg *Config) { cfg.syncWait = time.Hour })
+	inc := w.current()
+	q := syncOf(inc, 1)
+	_, err := inc.sync(q)
+	c.Assert(err, qt.IsNil)
+	answers := make(chan api.SyncResponse, 1)
+	q.WaitMillis = longLease
+	go func() {
+		r, _ := post[api.SyncResponse](w, "/v1/sync", q)
+		answers <- r
+	}()
+	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "k", `{"run_ms":1,"answer":"plan"}`))
+	c.Assert(err, qt.IsNil)
+	r := <-answers
+	for r.Ended == nil {
+		r, err = post[api.SyncResponse](w, "/v1/sync", q)
+		c.Assert(err, qt.IsNil)
+	}
+	sum := sha256.Sum256([]byte("plan"))
+	for range 2 {
+		c.Assert(r.Ended, qt.HasLen, 1)
+		c.Assert(string(r.Ended[0].Answer), qt.Equals, "plan")
+		c.Assert(r.Ended[0].AnswerLength, qt.Equals, 4)
+		c.Assert(r.Ended[0].AnswerDigest, qt.Equals, hex.EncodeToString(sum[:]))
+		r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(inc, 1))
+		c.Assert(err, qt.IsNil)
+	}
+	r, err = post[api.SyncResponse](w, "/v1/sync", syncOf(inc, 1, taskID("k", 1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Ended, qt.HasLen, 0)
+	copied, err := post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "k", ""))
+	c.Assert(err, qt.IsNil)
+	c.Assert(copied.State, qt.Equals, api.DispatchStarted)
+}
+
+// Guards against a former owner whose waiting sync is answered as if it still owned
+// the worker, and against its commands being carried out.
+func TestHigherEpochFencesTheFormerOwner(t *testing.T) {
+	c := qt.New(t)
+	inc := startWorker(c, func(cfg *Config) { cfg.syncWait = time.Hour }).current()
+	_, err := inc.dispatch(dispatchOf(inc, "k", runLong))
+	c.Assert(err, qt.IsNil)
+	q := syncOf(inc, 1)
+	q.WaitMillis = longLease
+	answers := make(chan api.SyncResponse, 1)
+	go func() {
+		r, _ := inc.sync(q)
+		answers <- r
+	}()
+	for !inc.syncedWithin(time.Hour) { // the sync of epoch 1 waits
+		time.Sleep(time.Millisecond)
+	}
+	_, err = inc.sync(syncOf(inc, 2))
+	c.Assert(err, qt.IsNil)
+	c.Assert((<-answers).StaleEpoch, qt.Equals, uint64(2))
+	r, err := inc.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.StaleEpoch, qt.Equals, uint64(2))
+	c.Assert(inc.running, qt.Equals, 1)
+	r, err = inc.stop(api.TaskCommand{Task: taskID("k", 1), Epoch: 2})
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.State, qt.Equals, api.DispatchStarted)
+	c.Assert(inc.running, qt.Equals, 0)
+}
+
+// Guards against a restart that keeps tasks running, forgets what its journal holds,
+// or calls an attempt refused that a former incarnation may have started.
+func TestRestart(t *testing.T) {
+	c := qt.New(t)
+	w := startWorker(c, nil)
+	old := w.current()
+	for _, key := range []string{"ran", "acked"} {
+		_, err := old.dispatch(dispatchOf(old, key, `{"run_ms":0}`))
+		c.Assert(err, qt.IsNil)
+		awaitEnd(c, old, 1, taskID(key, 1))
+	}
+	_, err := old.sync(syncOf(old, 1, taskID("acked", 1)))
+	c.Assert(err, qt.IsNil)
+	_, err = old.revoke(api.TaskCommand{Task: taskID("revoked", 1), Epoch: 1})
+	c.Assert(err, qt.IsNil)
+	running := dispatchOf(old, "running", runLong)
+	_, err = old.dispatch(running)
+	c.Assert(err, qt.IsNil)
+
+	c.Assert(w.Restart(true), qt.IsNil)
+	_, err = old.sync(syncOf(old, 1))
+	c.Assert(err, qt.ErrorIs, errEnded)
+	inc := w.current()
+	r, err := inc.sync(syncOf(inc, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Incarnation, qt.Not(qt.Equals), old.id)
+	c.Assert(r.Running, qt.HasLen, 0)
+	c.Assert(r.Ended, qt.HasLen, 2) // ran and running
+	for _, e := range r.Ended {
+		c.Assert(e.Kind, qt.Equals, api.EndStopped)
+	}
+	for key, state := range map[string]string{"running": api.DispatchStarted, "acked": api.DispatchStarted, "revoked": api.DispatchRefused, "new": api.DispatchRefused} {
+		answer, err := inc.revoke(api.TaskCommand{Task: taskID(key, 1), Epoch: 1})
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.State, qt.Equals, state, qt.Commentf(key))
+	}
+
+	c.Assert(w.Restart(false), qt.IsNil)
+	answer, err := w.current().dispatch(running)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.State, qt.Equals, dispatchUnknown)
+}
+
+// Guards against fault switches that do less or more than they say.
+func TestFaultSwitches(t *testing.T) {
+	c := qt.New(t)
+	w := startWorker(c, nil)
+	inc := w.current()
+	_, err := post[Faults](w, "/debug/faults", Faults{DropAnswers: true, FailAll: true})
+	c.Assert(err, qt.IsNil)
+	_, err = post[api.DispatchResponse](w, "/v1/tasks", dispatchOf(inc, "dropped", ""))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(awaitEnd(c, inc, 1, taskID("dropped", 1)).Kind, qt.Equals, api.EndFailed)
+
+	w.SetFaults(Faults{Freeze: true})
+	late := dispatchOf(inc, "late", "")
+	late.LeaseMillis = 20
+	answer := make(chan api.DispatchResponse, 1)
+	go func() {
+		r, _ := post[api.DispatchResponse](w, "/v1/tasks", late)
+		answer <- r
+	}()
+	for inc.token() < late.Token+late.LeaseMillis {
+		time.Sleep(time.Millisecond)
+	}
+	w.SetFaults(Faults{})
+	c.Assert((<-answer).State, qt.Equals, api.DispatchRefused)
+
+	before := w.Incarnation()
+	_, err = post[Faults](w, "/debug/faults", faultsRequest{Restart: "amnesia"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(w.Incarnation(), qt.Not(qt.Equals), before)
+}
