--- a/cmd/oleanderchute/cli.go
+++ b/cmd/oleanderchute/cli.go
@@ -19,7 +19,9 @@
 type CLI struct {
 	Globals
 
-	// The daemon's commands are declared here and implemented in serve.go and dev.go:
+	// The daemon's commands are declared here and implemented in serve.go and dev.go. Their
+	// flags must not repeat the names in Globals. Their Run(*app) error returns nil for
+	// exit code 0; app.ctx ends at SIGINT and SIGTERM:
 	//	Serve ServeCmd `cmd:"" help:"Run the daemon."`
 	//	Dev   DevCmd   `cmd:"" help:"Run a small cluster in one process for trials."`
 
--- a/control/change.go
+++ b/control/change.go
@@ -37,12 +37,13 @@
 	}
 	next := c.tables(s.tables)
 	problems := s.Check(next, c.Workers)
-	response := api.ApplyResponse{Version: standing, Problems: boundProblems(problems)}
+	response := api.ApplyResponse{Version: standing, Problems: boundProblems(newProblems(problems, s.standing))}
 	if n := countErrors(problems); n > 0 {
 		response.Reason = fmt.Sprintf("the check found %d errors; first: %s", n, problems[0].Message)
 		return response
 	}
 	s.accept(next, c)
+	s.standing = warningIDs(problems)
 	response.Accepted, response.Version = true, s.tables.Version
 	return response
 }
--- a/control/problemlog.go
+++ b/control/problemlog.go
@@ -29,8 +29,13 @@
 	poolIdle = 10 * time.Second
 )
 
-// problemKey groups sightings of one problem.
-type problemKey struct{ kind, subject string }
+// problemKey groups sightings of one problem. The message is no part of it, because
+// messages hold numbers that change. Ordinal counts problems of the tables with the same
+// kind and subject, such as the quotas of two teams in one pool.
+type problemKey struct {
+	kind, subject string
+	ordinal       int
+}
 
 // problemEntry is one problem with the time it was last seen, in Unix milliseconds.
 type problemEntry struct {
@@ -66,7 +71,7 @@
 // UnknownKind records that caller sent a kind that no route serves.
 func (l *ProblemLog) UnknownKind(now int64, kind, caller string, r *Resolver) {
 	kind, caller = truncate(kind, maxNameBytes), truncate(caller, maxNameBytes)
-	key := problemKey{ProblemUnknownKind, kind}
+	key := problemKey{kind: ProblemUnknownKind, subject: kind}
 	e := l.kinds[key]
 	if e == nil {
 		e = l.add(l.kinds, key, now, unknownKindProblem(kind, r.NearestRoute(kind)))
@@ -81,7 +86,7 @@
 // UnknownPool records that a worker announced a pool that does not exist.
 func (l *ProblemLog) UnknownPool(now int64, worker, pool string, r *Resolver) {
 	pool = truncate(pool, maxNameBytes)
-	key := problemKey{ProblemWorkerWithoutPool, pool}
+	key := problemKey{kind: ProblemWorkerWithoutPool, subject: pool}
 	e := l.pools[key]
 	if e == nil {
 		e = l.add(l.pools, key, now, api.Problem{})
@@ -102,10 +107,13 @@
 func (l *ProblemLog) SetTables(now int64, problems []api.Problem) {
 	before := l.tables
 	l.tables = make(map[problemKey]*problemEntry)
+	seen := make(map[problemKey]int)
 	for _, p := range cloneProblems(problems) {
-		key := problemKey{p.Kind, p.Subject + "\x00" + p.Message}
-		if l.tables[key] != nil || len(l.tables) >= l.limit {
-			continue
+		key := problemKey{kind: p.Kind, subject: p.Subject}
+		seen[key]++
+		key.ordinal = seen[key] - 1
+		if len(l.tables) >= l.limit {
+			break
 		}
 		e := &problemEntry{problem: p}
 		e.problem.FirstSeenUnixMillis, e.problem.Count = now, 0
@@ -170,7 +178,10 @@
 func (l *ProblemLog) List() []api.Problem {
 	var out []api.Problem
 	for _, source := range []map[problemKey]*problemEntry{l.kinds, l.pools, l.tables} {
-		for _, e := range source {
+		for key, e := range source {
+			if l.pools[key] != nil && l.pools[key] != e {
+				continue // the check found what the announcements have shown
+			}
 			out = append(out, e.problem)
 		}
 	}
@@ -179,41 +190,6 @@
 	return out
 }
 
-// MergeProblems joins the lists of several VMs: one entry for each problem, with the
-// earliest time, the sum of the counts and all callers.
-func MergeProblems(lists ...[]api.Problem) []api.Problem {
-	merged := make(map[problemKey]api.Problem)
-	for _, list := range lists {
-		for _, p := range cloneProblems(list) {
-			key := problemKey{p.Kind, p.Subject}
-			if p.Kind != ProblemUnknownKind && p.Kind != ProblemWorkerWithoutPool {
-				key.subject += "\x00" + p.Message
-			}
-			if first, ok := merged[key]; ok {
-				p = joinProblems(first, p)
-			}
-			merged[key] = p
-		}
-	}
-	out := slices.Collect(maps.Values(merged))
-	sortNewestFirst(out)
-	return out
-}
-
-// joinProblems keeps the text of the VM that has seen the problem more often.
-func joinProblems(a, b api.Problem) api.Problem {
-	if b.Count > a.Count {
-		a, b = b, a
-	}
-	a.Count += b.Count
-	a.FirstSeenUnixMillis = min(a.FirstSeenUnixMillis, b.FirstSeenUnixMillis)
-	callers := append(a.Callers, b.Callers...)
-	slices.Sort(callers)
-	callers = slices.Compact(callers)
-	a.Callers = callers[:min(len(callers), maxProblemCallers)]
-	return a
-}
-
 func sortNewestFirst(list []api.Problem) {
 	slices.SortFunc(list, func(a, b api.Problem) int {
 		return cmp.Or(cmp.Compare(b.FirstSeenUnixMillis, a.FirstSeenUnixMillis), cmp.Compare(a.Kind, b.Kind),
--- a/control/problemlog_test.go
+++ b/control/problemlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -88,10 +89,33 @@
 	got := l.List()
 	c.Assert([]any{got[0].Subject, got[0].FirstSeenUnixMillis, got[1].Subject, got[1].FirstSeenUnixMillis, got[1].Count}, qt.DeepEquals,
 		[]any{"draft", int64(20), "timing", int64(10), int64(2)})
+	a.Message = "m with another number"
+	l.SetTables(25, []api.Problem{a, a, unknownPoolProblem(WorkerInfo{Worker: "w", Pool: "timng"}, "")})
+	l.UnknownPool(26, "w", "timng", logResolver(api.Tables{}))
+	got = l.List()
+	c.Assert(got, qt.HasLen, 3)
+	c.Assert([]any{got[0].Subject, got[0].FirstSeenUnixMillis, got[2].FirstSeenUnixMillis}, qt.DeepEquals, []any{"timng", int64(26), int64(10)})
+	l.WorkerMoved("w", logResolver(api.Tables{}))
 	l.SetTables(30, nil)
 	c.Assert(l.List(), qt.HasLen, 0)
 }
 
+// Guards against a data race between requests that resolve unknown kinds.
+func TestResolverIsSafeForConcurrentUse(t *testing.T) {
+	r := logResolver(oneRoute("plan", "timing", "east"))
+	var calls sync.WaitGroup
+	for i := range 8 {
+		calls.Go(func() {
+			for j := range 300 {
+				_, _, err := r.Resolve(fmt.Sprintf("plan%d", i*j))
+				qt.Check(t, err.Nearest, qt.Equals, "plan")
+			}
+		})
+	}
+	calls.Wait()
+	qt.Assert(t, len(r.near.near) <= maxNearCache, qt.IsTrue)
+}
+
 // Guards against a problem that is listed once for each VM.
 func TestMergeProblems(t *testing.T) {
 	r := logResolver(oneRoute("plan", "timing", "east"))
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -18,13 +18,14 @@
 	Homes      homes              `cbor:"6,keyasint"`
 	Answers    []answer           `cbor:"7,keyasint"`
 	History    []api.HistoryEntry `cbor:"8,keyasint"`
+	Standing   []warningID        `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state. Equal states give equal bytes.
 func (s *State) Snapshot() []byte {
 	return mustEncode(snapshot{
 		Format: snapshotFormat, Index: s.index, Tables: s.tables, VMs: s.VMs(), Partitions: s.Partitions(),
-		Homes: s.homes, Answers: s.answers.ordered(), History: s.history,
+		Homes: s.homes, Answers: s.answers.ordered(), History: s.history, Standing: s.standing,
 	})
 }
 
@@ -38,7 +39,7 @@
 		return errors.Errorf("control snapshot has format %d, want %d", in.Format, snapshotFormat)
 	}
 	next := New()
-	next.index, next.history = in.Index, in.History
+	next.index, next.history, next.standing = in.Index, in.History, in.Standing
 	next.tables = NormalizeTables(in.Tables)
 	next.resolver = NewResolver(next.tables)
 	if in.Homes.Pools != nil && in.Homes.Kinds != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,7 @@
 	vms        map[string]VM
 	partitions map[string]Partition
 	homes      homes
+	standing   []warningID // of the tables in force, when they were accepted
 	answers    *answerLog
 	history    []api.HistoryEntry // oldest first
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -152,6 +152,29 @@
 	c.Assert(restored.History()[0].Version, qt.Equals, uint64(n))
 }
 
+// Guards against answers, and so snapshots, that repeat the warnings of the tables in
+// force with each change, and against a new warning that is left out.
+func TestAnswersHoldNewWarningsOnly(t *testing.T) {
+	c, s := qt.New(t), newTestState()
+	kinds := func(id string, tables api.Tables) (out []string) {
+		restored := New()
+		c.Assert(restored.Restore(s.Snapshot()), qt.IsNil)
+		s = restored
+		for _, p := range s.applyNext(s.EncodeChange(change(id, s.Version(), tables))).Apply.Problems {
+			out = append(out, p.Kind)
+		}
+		return out
+	}
+	tables := oneRoute("plan", "timing", "east")
+	tables.Pools = append(tables.Pools, api.Pool{Name: "spare", Home: "east"})
+	c.Assert(kinds("1", tables), qt.DeepEquals, []string{ProblemPoolWithoutRoute})
+	c.Assert(kinds("2", tables), qt.HasLen, 0)
+	tables.Pools = append(tables.Pools, api.Pool{Name: "Spare", Home: "east"})
+	c.Assert(kinds("3", tables), qt.DeepEquals, []string{ProblemNearDuplicatePool, ProblemPoolWithoutRoute})
+	c.Assert(kinds("4", oneRoute("plan", "timing", "east")), qt.HasLen, 0)
+	c.Assert(kinds("5", tables), qt.HasLen, 3)
+}
+
 // Guards against a delta that gives other tables than the whole tables would.
 func TestDeltaEqualsWholeTables(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
