client: bound resends by the life of an outcome; clearer remedies

Cause: a resend more than 10 min after the outcome is a new request for the server, and a user-set bound could reach that; the remedy for near-duplicate routes told to add an alias without removing the route of that name. Change: all tries of a call end within 5 min; the remedy names the route to remove and the one to edit; tests of pauses, surplus replicas and long names.

--- a/client/client.go
+++ b/client/client.go
@@ -26,6 +26,9 @@
 	// defaultDialTimeout detects a VM that is down without answering; the round trip
 	// between regions is 24 ms.
 	defaultDialTimeout = time.Second
+	// maxElapsed stays below the 10 min for which an outcome is kept. A later resend would
+	// not be recognized and would run the work again.
+	maxElapsed = 5 * time.Minute
 	// triesPerAddress bounds the tries of one call for each address.
 	triesPerAddress = 4
 	// minTries lets a client with one address, such as a balancer, wait out an election.
@@ -38,7 +41,7 @@
 	CallTimeout time.Duration // 4 s
 	// MaxElapsed bounds all tries of a call together, in addition to its context. Time
 	// that the server is asked to wait is added once.
-	MaxElapsed time.Duration // 30 s
+	MaxElapsed time.Duration // 30 s, at most 5 min
 	// MaxTries bounds the tries of a call; by default 4 for each address, at least 8.
 	MaxTries int
 	// MinBackOff and MaxBackOff bound the pause after each round over all addresses.
@@ -84,7 +87,7 @@
 
 func withDefaults(o Options, addresses int) Options {
 	o.CallTimeout = orDefault(o.CallTimeout, defaultCallTimeout)
-	o.MaxElapsed = orDefault(o.MaxElapsed, defaultMaxElapsed)
+	o.MaxElapsed = min(orDefault(o.MaxElapsed, defaultMaxElapsed), maxElapsed)
 	o.MinBackOff = orDefault(o.MinBackOff, defaultMinBackOff)
 	o.MaxBackOff = max(orDefault(o.MaxBackOff, defaultMaxBackOff), o.MinBackOff)
 	o.MaxTries = orDefault(o.MaxTries, max(minTries, triesPerAddress*addresses))
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -290,6 +290,23 @@
 	qt.Assert(t, status.State, qt.Equals, api.StateQueued)
 }
 
+// Guards against pauses that do not grow, exceed the bound or are the same for all
+// clients, and against resends after the server has forgotten the key.
+func TestPausesAndBounds(t *testing.T) {
+	pauses := make(map[time.Duration]bool)
+	for seed := range uint64(20) {
+		c, err := New([]string{"vm1:80"}, Options{MinBackOff: 100 * time.Millisecond, MaxBackOff: time.Second, MaxElapsed: time.Hour, Seed: seed + 1})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.opts.MaxElapsed, qt.Equals, maxElapsed)
+		for round, bound := range map[int]time.Duration{1: 100 * time.Millisecond, 3: 400 * time.Millisecond, 40: time.Second} {
+			d := c.backOff(round)
+			qt.Check(t, d >= bound/2 && d <= bound, qt.IsTrue, qt.Commentf("%d: %v", round, d))
+			pauses[d] = true
+		}
+	}
+	qt.Assert(t, len(pauses) > 40, qt.IsTrue)
+}
+
 func TestBadArguments(t *testing.T) {
 	for _, addresses := range [][]string{nil, {""}, {"ftp://x"}, {"http://"}} {
 		_, err := New(addresses, Options{})
--- a/client/requests.go
+++ b/client/requests.go
@@ -16,7 +16,7 @@
 
 // Submit submits a request, or joins the one with the same key, and returns its outcome
 // or, after WaitMillis, its state. It is resent with the same key, which joins the first
-// execution. On CodeUnknownResult the request may have been accepted: call Outcome, or
+// execution; an outcome is kept for 10 min, after which the key is new. On CodeUnknownResult the request may have been accepted: call Outcome, or
 // Submit again with the same key and body.
 func (c *Client) Submit(ctx context.Context, r api.SubmitRequest) (api.RequestStatus, error) {
 	if r.Caller == "" || r.Key == "" {
--- a/cmd/oleanderchute/check.go
+++ b/cmd/oleanderchute/check.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	if a.Output != "json" {
-		a.linef("%s: %d routes, %d pools, no errors, %d warnings", c.File, len(tables.Routes), len(tables.Pools), len(problems))
+		a.linef("%s: routes: %d, pools: %d, errors: 0, warnings: %d", c.File, len(tables.Routes), len(tables.Pools), len(problems))
 	}
 	return nil
 }
--- a/cmd/oleanderchute/tablefile.go
+++ b/cmd/oleanderchute/tablefile.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return api.Tables{}, err
 	}
-	return api.Tables{}, failf("%s has %d errors", file, len(faults))
+	return api.Tables{}, failf("%s: errors found: %d", file, len(faults))
 }
 
 func (a *app) readFile(file string) ([]byte, error) {
@@ -51,7 +51,7 @@
 		return err
 	}
 	if n := countErrors(problems); n > 0 {
-		return failf("%s has %d errors", file, n)
+		return failf("%s: errors found: %d", file, n)
 	}
 	return nil
 }
--- a/control/change.go
+++ b/control/change.go
@@ -39,7 +39,7 @@
 	problems := s.Check(next, c.Workers)
 	response := api.ApplyResponse{Version: standing, Problems: boundProblems(newProblems(problems, s.standing))}
 	if n := countErrors(problems); n > 0 {
-		response.Reason = fmt.Sprintf("the check found %d errors; first: %s", n, problems[0].Message)
+		response.Reason = fmt.Sprintf("errors found by the check: %d; first: %s", n, problems[0].Message)
 		return response
 	}
 	s.accept(next, c)
--- a/control/check_test.go
+++ b/control/check_test.go
@@ -57,7 +57,7 @@
 		{about: "pool without route", edit: func(t *api.Tables) { t.Pools = append(t.Pools, api.Pool{Name: "spare", Home: "west"}) }, want: "warning pool_without_route spare ", remedy: `"pool: spare"`},
 		{about: "used pool loses its route", old: oneRoute("plan", "timing", "east"), edit: func(t *api.Tables) { t.Routes = nil }, workers: worker("timing"), want: "warning pool_loses_last_route timing ", remedy: `"pool: timing"`},
 		{about: "home changes", old: oneRoute("plan", "timing", "west"), edit: func(*api.Tables) {}, want: "error pool_home_changed timing west\nerror route_home_changed plan ", remedy: `write "home: west"`},
-		{about: "near duplicate by case", edit: addRoute(api.Route{Name: "Plan", Pool: "timing"}), want: "warning near_duplicate_route plan Plan\nwarning near_duplicate_route plam Plan", remedy: "rename one"},
+		{about: "near duplicate by case", edit: addRoute(api.Route{Name: "Plan", Pool: "timing"}), want: "warning near_duplicate_route plan Plan\nwarning near_duplicate_route plam Plan", remedy: `remove "plan" and write "aliases: [plan]" in route "Plan"`},
 		{about: "near duplicate pool", edit: func(t *api.Tables) {
 			t.Pools = append(t.Pools, api.Pool{Name: "tim_ing", Home: "east"})
 			addRoute(api.Route{Name: "x-ray", Pool: "tim_ing"})(t)
--- a/control/checknear.go
+++ b/control/checknear.go
@@ -31,8 +31,11 @@
 func (c *checker) warnNear(kind, what string, names []owned) {
 	for _, pair := range nearPairs(names) {
 		a, b := pair[0].name, pair[1].name
-		c.warn(kind, b, a, fmt.Sprintf("%s %q and %q differ only by %s", what, a, b, difference(a, b)),
-			fmt.Sprintf("rename one of them, or keep one and write \"aliases: [%s]\" in the other if callers use both", b))
+		remedy := "rename one of them"
+		if kind == ProblemNearDuplicateKind {
+			remedy = fmt.Sprintf("rename one of them, or remove %q and write \"aliases: [%s]\" in route %q", b, b, pair[0].owner)
+		}
+		c.warn(kind, b, a, fmt.Sprintf("%s %q and %q differ only by %s", what, a, b, difference(a, b)), remedy)
 	}
 }
 
@@ -161,7 +164,7 @@
 	case strings.EqualFold(a, b):
 		return "upper and lower case"
 	case withoutSeparators(strings.ToLower(a)) == withoutSeparators(strings.ToLower(b)):
-		return "hyphen, underscore or dot"
+		return "case, hyphen, underscore or dot"
 	case skeleton(a) == skeleton(b):
 		return "letters that look alike"
 	default:
--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -48,6 +48,7 @@
 		{"replace one lost VM of two", east[1:], assigned("e1", "e2", "x"), map[string][]string{"east": {"e2", "e4", "x"}}},
 		{"replace a VM with an empty disk", returned, assigned("e1", "e2", "e4"), map[string][]string{"east": {"e1", "e2", "e4"}}},
 		{"keep a lost replica without replacement", east[:2], assigned("e1", "e2", "x"), map[string][]string{"east": {"e1", "e2", "x"}}},
+		{"remove a surplus replica", east, assigned("e1", "e2", "e3", "e4"), map[string][]string{"east": {"e2", "e3", "e4"}}},
 		{"region without VMs", nil, assigned("e1"), map[string][]string{"east": {"e1"}}},
 	} {
 		t.Run(test.about, func(t *testing.T) {
--- a/control/problemlog_test.go
+++ b/control/problemlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -74,9 +75,10 @@
 		l.UnknownKind(int64(10+i), fmt.Sprintf("random-%d", i), "y", r)
 		l.UnknownPool(int64(10+i), "w", fmt.Sprintf("random-%d", i), r)
 	}
+	l.UnknownKind(1, strings.Repeat("é", 300), "x", r)
 	got := l.List()
 	c.Assert(got, qt.HasLen, 40)
-	c.Assert(got[39].Subject, qt.Equals, "plam")
+	c.Assert([]string{got[38].Subject, got[39].Subject}, qt.DeepEquals, []string{"plam", strings.Repeat("é", maxNameBytes/2)})
 }
 
 // Guards against a table problem that stays after a change, or that looks new each time.
