--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -34,7 +34,8 @@
 	writeJSON(w, http.StatusOK, control.Check(v.tables, next, s.knownWorkers(r.Context()), v.partitionNames()))
 }
 
-// handleApply serves POST /v1/tables/apply.
+// handleApply serves POST /v1/tables/apply. A change that lost to another one or that
+// the checks refuse is answered with 200 and Accepted=false.
 func (s *Server) handleApply(w http.ResponseWriter, r *http.Request) {
 	var req api.ApplyRequest
 	if err := decodeJSON(r.Body, &req); err != nil {
@@ -50,11 +51,7 @@
 		s.refuse(w, reply.Err)
 		return
 	}
-	status := http.StatusOK
-	if !reply.Response.Accepted {
-		status = http.StatusConflict
-	}
-	writeJSON(w, status, reply.Response)
+	writeJSON(w, http.StatusOK, reply.Response)
 }
 
 // forwardApply looks for the control leader. A change carries its id, so repeating a
