--- a/cmd/oleanderchute/commands_test.go
+++ b/cmd/oleanderchute/commands_test.go
@@ -34,7 +34,7 @@
 	}{
 		{"misspelled command", []string{"statsu"}, exitUsage, `unknown command "statsu"; type "oleanderchute status"`},
 		{"unknown command", []string{"zzzz"}, exitUsage, `commands are check, apply`},
-		{"no command", nil, exitUsage, "no command is given; commands are check"},
+		{"no command", nil, exitUsage, "no command is given; commands are serve, dev, check"},
 		{"misspelled flag", []string{"status", "--adress=x"}, exitUsage, `did you mean "--address"?`},
 		{"misspelled choice", append([]string{"submit", "--class=urgnt"}, request...), exitUsage, `type "--class urgent"`},
 		{"missing argument", []string{"check"}, exitUsage, `type "oleanderchute check --help" for an example`},
