--- a/cmd/oleanderchute/commands_test.go
+++ b/cmd/oleanderchute/commands_test.go
@@ -33,7 +33,7 @@
 		want  string // part of the output or of the error
 	}{
 		{"misspelled command", []string{"statsu"}, exitUsage, `unknown command "statsu"; type "oleanderchute status"`},
-		{"unknown command", []string{"zzzz"}, exitUsage, `commands are check, apply`},
+		{"unknown command", []string{"zzzz"}, exitUsage, `commands are serve, dev, check, apply`},
 		{"no command", nil, exitUsage, "no command is given; commands are serve, dev, check"},
 		{"misspelled flag", []string{"status", "--adress=x"}, exitUsage, `did you mean "--address"?`},
 		{"misspelled choice", append([]string{"submit", "--class=urgnt"}, request...), exitUsage, `type "--class urgent"`},
