storage, server: refuse a removed group folder; lock the data folder; count bytes

Cause: a group whose folder alone was removed started empty under an identity that had acknowledged entries; traffic per link was not measurable. Change: groups.json lists the groups created in a data folder; LockFolder held by the daemon; metric oleander_bytes_total by link and direction. Result: TestRemovedGroupFolderIsRefused failed before the manifest and passes now.

--- /dev/null
+++ b/server/bytecount.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// byteCounter counts the bytes of a set of connections. It is safe for concurrent use.
+type byteCounter struct{ sent, received atomic.Int64 }
+
+// countedConn counts what passes through a connection.
+type countedConn struct {
+	net.Conn
+	counter *byteCounter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.sent.Add(int64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	counter *byteCounter
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, l.counter}, nil
+}
+
+// countDial wraps a dial function so that its connections are counted.
+func countDial(counter *byteCounter, dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{conn, counter}, nil
+	}
+}
+
+// bytesTotal describes the bytes of one kind of link since the start of the process.
+var bytesTotal = prometheus.NewDesc("oleander_bytes_total",
+	"Bytes on connections to workers, to other VMs, and on the HTTP listener.", []string{"link", "direction"}, nil)
+
+// byteCollector exports the counters. It implements prometheus.Collector.
+type byteCollector struct{ s *Server }
+
+// Describe implements prometheus.Collector.
+func (b byteCollector) Describe(ch chan<- *prometheus.Desc) { ch <- bytesTotal }
+
+// Collect implements prometheus.Collector.
+func (b byteCollector) Collect(ch chan<- prometheus.Metric) {
+	emit := func(link, direction string, n int64) {
+		ch <- prometheus.MustNewConstMetric(bytesTotal, prometheus.CounterValue, float64(n), link, direction)
+	}
+	emit("worker", "sent", b.s.workers.bytes.sent.Load())
+	emit("worker", "received", b.s.workers.bytes.received.Load())
+	emit("http", "sent", b.s.httpBytes.sent.Load())
+	emit("http", "received", b.s.httpBytes.received.Load())
+	sent, received := b.s.peers.bytes()
+	emit("peer", "sent", sent)
+	emit("peer", "received", received)
+}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -33,7 +33,7 @@
 	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "oleander_tables_version", Help: "Version of the tables on this VM."},
 		func() float64 { return float64(s.view.Load().tables.Version) })
-	m.registry.MustRegister(m.answered, m.refused, m.calls, m.problems, tablesAge, version,
+	m.registry.MustRegister(m.answered, m.refused, m.calls, m.problems, tablesAge, version, byteCollector{s},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/server/peers.go
+++ b/server/peers.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// bytes returns what was sent to and received from the other VMs on connections that
+// this VM opened. Links that were replaced no longer count.
+func (p *peerSet) bytes() (sent, received int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, l := range p.links {
+		if vm != p.s.settings.VM {
+			sent += l.peer.BytesSent()
+			received += l.peer.BytesReceived()
+		}
+	}
+	return sent, received
+}
+
 // sendRaft queues a message for another VM; messages may be lost.
 func (p *peerSet) sendRaft(m raft.Message) {
 	if l := p.get(vmOf(m.To)); l != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -33,6 +34,10 @@
 	hints    *leaderHints
 	problems *problemKeeper
 	metrics  *metrics
+	// httpBytes counts the HTTP listener's traffic.
+	httpBytes byteCounter
+	// folder keeps other processes out of the data folder; nil without a disk.
+	folder io.Closer
 
 	view        atomic.Pointer[view]
 	confirmedAt atomic.Int64 // time.Duration since the loop's origin
@@ -59,7 +64,7 @@
 		workers: newWorkerCalls(l), hints: newLeaderHints(), problems: newProblemKeeper(log),
 		partitions: map[string]*hosted{},
 	}
-	id, err := loadIdentity(settings)
+	id, err := s.loadIdentity()
 	if err != nil {
 		return nil, err
 	}
@@ -73,11 +78,21 @@
 	return s, nil
 }
 
-func loadIdentity(settings Settings) (raft.NodeID, error) {
-	if settings.DataDir == "" {
-		return storage.EphemeralIdentity(settings.VM)
+func (s *Server) loadIdentity() (raft.NodeID, error) {
+	if s.settings.DataDir == "" {
+		return storage.EphemeralIdentity(s.settings.VM)
+	}
+	folder, err := storage.LockFolder(s.settings.DataDir)
+	if err != nil {
+		return "", errors.Wrapf(err, "--data-dir=%s cannot be used", s.settings.DataDir)
 	}
-	return storage.LoadIdentity(settings.DataDir, settings.VM)
+	id, err := storage.LoadIdentity(s.settings.DataDir, s.settings.VM)
+	if err != nil {
+		folder.Close()
+		return "", errors.Wrapf(err, "--data-dir=%s cannot be used", s.settings.DataDir)
+	}
+	s.folder = folder
+	return id, nil
 }
 
 // Run serves until ctx ends, then drains and returns. It returns early with an error
@@ -97,7 +112,7 @@
 	g, work := errgroup.WithContext(work)
 	web := s.newHTTPServer()
 	g.Go(func() error { return s.peers.serve(work, peerListener) })
-	g.Go(func() error { return serveHTTP(web, httpListener) })
+	g.Go(func() error { return serveHTTP(web, &countedListener{httpListener, &s.httpBytes}) })
 	g.Go(func() error { s.loop.run(work, s.step); return nil })
 	g.Go(func() error { return s.start(work) })
 	g.Go(func() error { s.watchProblems(work); return nil })
@@ -113,6 +128,9 @@
 	err = g.Wait()
 	s.closeGroups()
 	s.peers.close()
+	if s.folder != nil {
+		s.folder.Close()
+	}
 	return err
 }
 
--- a/server/workercalls.go
+++ b/server/workercalls.go
@@ -34,16 +34,18 @@
 type workerCalls struct {
 	loop   *loop
 	client *http.Client
+	bytes  *byteCounter
 }
 
 func newWorkerCalls(l *loop) *workerCalls {
+	counter := &byteCounter{}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		DialContext:         countDial(counter, (&net.Dialer{Timeout: callTimeout}).DialContext),
 		MaxConnsPerHost:     connectionsPerWorker,
 		MaxIdleConnsPerHost: connectionsPerWorker,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &workerCalls{loop: l, client: &http.Client{Transport: transport}}
+	return &workerCalls{loop: l, client: &http.Client{Transport: transport}, bytes: counter}
 }
 
 // post sends v as JSON and decodes the answer into out. An error means that the worker
--- a/storage/errors.go
+++ b/storage/errors.go
@@ -20,6 +20,8 @@
 	ErrLocked = errors.New("storage: folder is in use")
 	// ErrWrongVM means that the folder belongs to another VM.
 	ErrWrongVM = errors.New("storage: folder belongs to another VM")
+	// ErrGroupRemoved means that the folder of a group that was created here is gone.
+	ErrGroupRemoved = errors.New("storage: group folder was removed")
 	// ErrInvalid means that the caller asked for something the log cannot hold, such
 	// as entries that leave a gap. Nothing was written.
 	ErrInvalid = errors.New("storage: invalid argument")
--- a/storage/group.go
+++ b/storage/group.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/url"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"github.com/oleanderchute/oleanderchute/raft"
@@ -64,7 +65,8 @@
 
 // OpenGroup opens the log of a group, creates it at the first start, and returns what
 // it held. A torn tail is cut. Errors: *CorruptError for damage to synced data,
-// ErrLocked, *DiskError.
+// ErrGroupRemoved if the group was created here and its folder is gone, ErrLocked,
+// *DiskError.
 func OpenGroup(dir, group string, opts Options) (*Group, raft.Recovered, error) {
 	opts = opts.withDefaults()
 	g := &Group{
@@ -80,7 +82,7 @@
 		return nil, raft.Recovered{}, err
 	}
 	g.lock = lock
-	rec, err := g.open()
+	rec, err := g.open(dir, group)
 	if err != nil {
 		lock.Close()
 		return nil, raft.Recovered{}, err
@@ -88,8 +90,20 @@
 	return g, rec, nil
 }
 
-func (g *Group) open() (raft.Recovered, error) {
-	if err := g.createIfAbsent(); err != nil {
+func (g *Group) open(dir, group string) (raft.Recovered, error) {
+	exists, err := g.exists()
+	if err != nil {
+		return raft.Recovered{}, err
+	}
+	if err := checkManifest(g.fs, dir, group, exists); err != nil {
+		return raft.Recovered{}, err
+	}
+	if !exists {
+		if err := g.create(); err != nil {
+			return raft.Recovered{}, err
+		}
+	}
+	if err := noteGroup(g.fs, dir, group); err != nil {
 		return raft.Recovered{}, err
 	}
 	p := replay{fs: g.fs, dir: g.dir}
@@ -111,19 +125,19 @@
 	return rec, nil
 }
 
-// createIfAbsent creates the folder with its first segment under a temporary name, so
-// that a group folder without a segment is always damage.
-func (g *Group) createIfAbsent() error {
+// exists reports whether the folder of the group is there.
+func (g *Group) exists() (bool, error) {
 	parent, name := filepath.Split(g.dir)
 	names, err := g.fs.ReadDir(parent)
 	if err != nil {
-		return diskError(opRead, parent, err)
-	}
-	for _, n := range names {
-		if n == name {
-			return nil
-		}
+		return false, diskError(opRead, parent, err)
 	}
+	return slices.Contains(names, name), nil
+}
+
+// create makes the folder with its first segment under a temporary name, so that a
+// group folder without a segment is always damage.
+func (g *Group) create() error {
 	tmp := Group{fs: g.fs, dir: g.dir + tmpSuffix}
 	if err := g.fs.RemoveAll(tmp.dir); err != nil {
 		return diskError(opRemove, tmp.dir, err)
