internal/localcluster: processes on loopback for the demo and measurements

Cause: the capacity measurement needs the processes that only the demo could start. Change: the demo's process code becomes a package; a group's store is closed before the daemon returns.

--- a/demo/main.go
+++ b/demo/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/client"
+	"github.com/oleanderchute/oleanderchute/internal/localcluster"
 )
 
 // demoTimeout bounds the whole run.
@@ -36,18 +37,15 @@
 }
 
 func run(ctx context.Context, bin string) error {
-	dir, err := os.MkdirTemp("", "oleanderchute-demo-")
+	cluster, err := localcluster.New(bin)
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
-	defer os.RemoveAll(dir)
-	procs := &processes{bin: bin, dir: dir}
-	defer procs.stop()
-	addresses, err := startDaemons(procs)
-	if err != nil {
+	defer cluster.Stop()
+	if err := cluster.StartDaemons(localcluster.ThreePlaces); err != nil {
 		return err
 	}
-	c, err := client.New(addresses, client.Options{})
+	c, err := client.New(cluster.Addresses, client.Options{})
 	if err != nil {
 		return err
 	}
@@ -59,7 +57,7 @@
 	if err := applyTables(ctx, c); err != nil {
 		return err
 	}
-	if err := startWorkers(procs, addresses); err != nil {
+	if err := startWorkers(cluster); err != nil {
 		return err
 	}
 	if err := awaitWorkers(ctx, c); err != nil {
@@ -185,7 +183,7 @@
 	return nil
 }
 
-func startWorkers(procs *processes, addresses []string) error {
+func startWorkers(cluster *localcluster.Cluster) error {
 	workers := []struct{ name, pool, region, domain string }{
 		{"w1", "drafters", "north", "n1"},
 		{"w2", "drafters", "north", "n2"},
@@ -195,12 +193,12 @@
 	for _, w := range workers {
 		args := []string{
 			"--worker=" + w.name, "--pool=" + w.pool, "--region=" + w.region, "--failure-domain=" + w.domain,
-			"--rack=r1", "--journal=" + filepath.Join(procs.dir, w.name+".journal"),
+			"--rack=r1", "--journal=" + filepath.Join(cluster.Dir, w.name+".journal"),
 		}
-		for _, a := range addresses {
+		for _, a := range cluster.Addresses {
 			args = append(args, "--entry=http://"+a)
 		}
-		if err := procs.start("standin-worker", w.name, args...); err != nil {
+		if _, err := cluster.Start("standin-worker", w.name, args...); err != nil {
 			return err
 		}
 	}
--- a/server/group.go
+++ b/server/group.go
@@ -36,6 +36,7 @@
 	loop    *loop
 
 	jobs    chan saveJob
+	stopped chan struct{} // closed when the store is closed
 	saving  bool
 	failed  bool
 	applied uint64
@@ -55,13 +56,14 @@
 const compactEvery = 4096
 
 func newGroup(name string, node *raft.Node, st store, m stateMachine, l *loop, send func(raft.Message), log *zap.Logger) *group {
-	g := &group{name: name, node: node, store: st, machine: m, send: send, log: log.With(zap.String("group", name)), loop: l, jobs: make(chan saveJob, 1)}
+	g := &group{name: name, node: node, store: st, machine: m, send: send, log: log.With(zap.String("group", name)), loop: l, jobs: make(chan saveJob, 1), stopped: make(chan struct{})}
 	go g.runStorage()
 	return g
 }
 
 // runStorage saves batches, one at a time, off the control goroutine.
 func (g *group) runStorage() {
+	defer close(g.stopped)
 	for job := range g.jobs {
 		job.done(g.save(job))
 	}
@@ -84,7 +86,11 @@
 	return g.store.Save(hs, job.ready.Entries, job.ready.Snapshot)
 }
 
-func (g *group) stop() { close(g.jobs) }
+// stop closes the store after the batch that is being saved. The loop has stopped.
+func (g *group) stop() {
+	close(g.jobs)
+	<-g.stopped
+}
 
 // pump carries out Ready batches until one has to wait for the disk.
 func (g *group) pump(now time.Duration) {
