bench/capacity: use of processor, memory and bytes by workers, requests and changes

Cause: docs/CAPACITY.md has to work from measured slopes. Change: a program that measures three daemons with stand-in workers.

--- /dev/null
+++ b/bench/capacity/main.go
@@ -0,0 +1,203 @@
+// Command capacity measures what control costs a VM: processor time, memory and bytes of
+// three daemons as the number of workers, the rate of requests and the rate of table
+// changes grow. Workers are stand-ins in this process. It prints one table a series and
+// the slopes, for docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/client"
+	"github.com/oleanderchute/oleanderchute/internal/localcluster"
+)
+
+// options of one run.
+type options struct {
+	bin     string
+	workers []int
+	rates   []int
+	changes []int
+	window  time.Duration
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.bin, "bin", "bin", "folder with the programs oleanderchute and standin-worker")
+	workers := flag.String("workers", "50,200,800", "numbers of workers")
+	rates := flag.String("rates", "0,100,400", "requests per second, with the first number of workers")
+	changes := flag.String("changes", "0,2,8", "table changes per second, with the first number of workers")
+	flag.DurationVar(&o.window, "window", 8*time.Second, "length of one measurement")
+	flag.Parse()
+	o.workers, o.rates, o.changes = numbers(*workers), numbers(*rates), numbers(*changes)
+	if err := run(context.Background(), o); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func numbers(list string) []int {
+	var out []int
+	for _, text := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "capacity: %q is no list of numbers\n", list)
+			os.Exit(2)
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+func run(ctx context.Context, o options) error {
+	if err := seriesOfWorkers(ctx, o); err != nil {
+		return err
+	}
+	if err := seriesOfRates(ctx, o, false); err != nil {
+		return err
+	}
+	if err := seriesOfRates(ctx, o, true); err != nil {
+		return err
+	}
+	return seriesOfChanges(ctx, o)
+}
+
+// bench is one cluster with its workers.
+type bench struct {
+	*localcluster.Cluster
+	client  *client.Client
+	workers *fleet
+	version uint64 // of the tables in force
+}
+
+func newBench(ctx context.Context, o options, workers int) (*bench, error) {
+	cluster, err := localcluster.New(o.bin)
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{Cluster: cluster}
+	if err := b.prepare(ctx, workers); err != nil {
+		b.stop()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) prepare(ctx context.Context, workers int) error {
+	if err := b.StartDaemons(localcluster.ThreePlaces); err != nil {
+		return err
+	}
+	c, err := client.New(b.Addresses, client.Options{})
+	if err != nil {
+		return err
+	}
+	b.client = c
+	if err := awaitServing(ctx, c); err != nil {
+		return err
+	}
+	if b.version, err = applyTables(ctx, c, 0, 0); err != nil {
+		return err
+	}
+	b.workers, err = startFleet(b.Dir, b.Addresses, workers)
+	if err != nil {
+		return err
+	}
+	return awaitWorkers(ctx, c, workers)
+}
+
+func (b *bench) stop() {
+	if b.workers != nil {
+		b.workers.stop()
+	}
+	if b.client != nil {
+		b.client.Close()
+	}
+	b.Stop()
+}
+
+// settle is how long a cluster runs before a measurement, so that the start does not count.
+const settle = 3 * time.Second
+
+func seriesOfWorkers(ctx context.Context, o options) error {
+	t := newTable("workers, idle", "workers")
+	for _, n := range o.workers {
+		b, err := newBench(ctx, o, n)
+		if err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		s, err := b.measure(o.window, func() error { time.Sleep(o.window); return nil })
+		b.stop()
+		if err != nil {
+			return err
+		}
+		t.add(n, s)
+	}
+	t.print()
+	return nil
+}
+
+func seriesOfRates(ctx context.Context, o options, nonIdempotent bool) error {
+	title := "requests/s, idempotent"
+	if nonIdempotent {
+		title = "requests/s, non-idempotent"
+	}
+	t := newTable(title, "requests/s")
+	b, err := newBench(ctx, o, o.workers[0])
+	if err != nil {
+		return err
+	}
+	defer b.stop()
+	time.Sleep(settle)
+	for _, rate := range o.rates {
+		load := &load{client: b.client, rate: rate, nonIdempotent: nonIdempotent}
+		s, err := b.measure(o.window, func() error { return load.run(ctx, o.window) })
+		if err != nil {
+			return err
+		}
+		s.note = load.summary()
+		t.add(rate, s)
+	}
+	t.print()
+	return nil
+}
+
+func seriesOfChanges(ctx context.Context, o options) error {
+	t := newTable("table changes/s, tables of 100 routes", "changes/s")
+	b, err := newBench(ctx, o, o.workers[0])
+	if err != nil {
+		return err
+	}
+	defer b.stop()
+	time.Sleep(settle)
+	for _, rate := range o.changes {
+		s, err := b.measure(o.window, func() error { return b.runChanges(ctx, rate, o.window) })
+		if err != nil {
+			return err
+		}
+		t.add(rate, s)
+	}
+	t.print()
+	return nil
+}
+
+// await polls until the condition holds.
+func await(ctx context.Context, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("not in time: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/capacity/measure.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// usage is what one daemon has used since its start.
+type usage struct {
+	cpu     time.Duration
+	rssMB   float64
+	traffic map[string]float64 // bytes by link and direction
+}
+
+// sample is the use of the daemons in one window: the owner of partition north, where the
+// workers are, and the mean of the others.
+type sample struct {
+	owner, other vmUse
+	note         string
+}
+
+// vmUse is the use of one VM per second.
+type vmUse struct {
+	cpuPercent float64 // of one core
+	rssMB      float64
+	kbWorker   float64 // kilobytes per second, both directions
+	kbPeer     float64
+	kbHTTP     float64
+}
+
+// measure runs work and returns what the daemons used meanwhile.
+func (b *bench) measure(window time.Duration, work func() error) (sample, error) {
+	owner, err := b.owner()
+	if err != nil {
+		return sample{}, err
+	}
+	before, err := b.usages()
+	if err != nil {
+		return sample{}, err
+	}
+	start := time.Now()
+	if err := work(); err != nil {
+		return sample{}, err
+	}
+	took := time.Since(start).Seconds()
+	after, err := b.usages()
+	if err != nil {
+		return sample{}, err
+	}
+	var s sample
+	for i := range after {
+		use := difference(before[i], after[i], took)
+		if i == owner {
+			s.owner = use
+		} else {
+			s.other = s.other.plus(use, 1/float64(len(after)-1))
+		}
+	}
+	return s, nil
+}
+
+func (b *bench) owner() (int, error) {
+	st, err := b.client.Status(context.Background())
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range st.Partitions {
+		if p.Partition == "north" && strings.HasPrefix(p.Leader, "vm") {
+			n, err := strconv.Atoi(strings.TrimPrefix(p.Leader, "vm"))
+			return n - 1, errors.WithStack(err)
+		}
+	}
+	return 0, errors.New("partition north has no owner")
+}
+
+func (b *bench) usages() ([]usage, error) {
+	var out []usage
+	for i, pid := range b.Daemons {
+		u, err := processUse(pid)
+		if err != nil {
+			return nil, err
+		}
+		if u.traffic, err = traffic(b.Addresses[i]); err != nil {
+			return nil, err
+		}
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+// clockTicks is the unit of processor time in /proc, ticks per second on Linux.
+const clockTicks = 100
+
+func processUse(pid int) (usage, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, errors.WithStack(err)
+	}
+	// The fields after the program's name in parentheses start with the third.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return usage{
+		cpu:   time.Duration(user+system) * time.Second / clockTicks,
+		rssMB: float64(pages) * float64(os.Getpagesize()) / (1 << 20),
+	}, nil
+}
+
+// traffic reads the byte counters of a daemon.
+func traffic(address string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if strings.HasPrefix(name, "oleander_bytes_total") {
+			n, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return nil, errors.WithStack(err)
+			}
+			out[name] = n
+		}
+	}
+	return out, errors.WithStack(lines.Err())
+}
+
+func difference(before, after usage, seconds float64) vmUse {
+	kb := func(link string) float64 {
+		total := 0.0
+		for name, n := range after.traffic {
+			if strings.Contains(name, `link="`+link+`"`) {
+				total += n - before.traffic[name]
+			}
+		}
+		return total / 1000 / seconds
+	}
+	return vmUse{
+		cpuPercent: 100 * (after.cpu - before.cpu).Seconds() / seconds, rssMB: after.rssMB,
+		kbWorker: kb("worker"), kbPeer: kb("peer"), kbHTTP: kb("http"),
+	}
+}
+
+func (u vmUse) plus(v vmUse, weight float64) vmUse {
+	return vmUse{
+		u.cpuPercent + weight*v.cpuPercent, u.rssMB + weight*v.rssMB,
+		u.kbWorker + weight*v.kbWorker, u.kbPeer + weight*v.kbPeer, u.kbHTTP + weight*v.kbHTTP,
+	}
+}
+
+func (u vmUse) columns() []float64 {
+	return []float64{u.cpuPercent, u.rssMB, u.kbWorker, u.kbPeer, u.kbHTTP}
+}
+
+// table prints one series.
+type table struct {
+	title, unit string
+	sizes       []int
+	samples     []sample
+}
+
+func newTable(title, unit string) *table { return &table{title: title, unit: unit} }
+
+func (t *table) add(size int, s sample) {
+	t.sizes = append(t.sizes, size)
+	t.samples = append(t.samples, s)
+}
+
+func (t *table) print() {
+	fmt.Printf("\n%s\n", t.title)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s\trole\tcpu %% of a core\trss MB\tKB/s workers\tKB/s peers\tKB/s http\t\n", t.unit)
+	for i, s := range t.samples {
+		printRow(w, fmt.Sprint(t.sizes[i]), "owner", s.owner.columns())
+		printRow(w, "", "other", s.other.columns())
+	}
+	printRow(w, "slope", "owner", t.slopes(func(s sample) vmUse { return s.owner }))
+	printRow(w, "per "+t.unit, "other", t.slopes(func(s sample) vmUse { return s.other }))
+	w.Flush()
+	for i, s := range t.samples {
+		if s.note != "" {
+			fmt.Printf("  %d: %s\n", t.sizes[i], s.note)
+		}
+	}
+}
+
+func printRow(w *tabwriter.Writer, size, role string, columns []float64) {
+	fmt.Fprintf(w, "%s\t%s", size, role)
+	for _, c := range columns {
+		fmt.Fprintf(w, "\t%.4g", c)
+	}
+	fmt.Fprintln(w, "\t")
+}
+
+// slopes fits a line to each column by least squares.
+func (t *table) slopes(role func(sample) vmUse) []float64 {
+	out := make([]float64, len(vmUse{}.columns()))
+	for c := range out {
+		var n, sx, sy, sxx, sxy float64
+		for i, size := range t.sizes {
+			x, y := float64(size), role(t.samples[i]).columns()[c]
+			n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+		}
+		out[c] = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	}
+	return out
+}
