--- a/raft/machine_test.go
+++ b/raft/machine_test.go
@@ -284,12 +284,32 @@
 		m.onLeader(func(h *host) { m.propose(h) })
 		m.run(100 * time.Millisecond)
 		if k := len(m.committed); m.commitTimes[k-1] > before && len(m.committed[k-1].Data) > 0 {
+			m.catchUp()
 			return
 		}
 	}
 	m.t.Fatalf("no proposal is committed within 10 s after all faults have ended")
 }
 
+// catchUp expects that every member that is up receives everything committed so far.
+func (m *machine) catchUp() {
+	goal := uint64(len(m.committed))
+	for range 100 {
+		m.run(100 * time.Millisecond)
+		behind := false
+		if h := m.leader(); h != nil {
+			for _, id := range h.node.membership.members() {
+				n := m.hosts[id].node
+				behind = behind || n != nil && n.role != RoleForgot && n.log.applied < goal
+			}
+			if !behind {
+				return
+			}
+		}
+	}
+	m.t.Fatalf("a member does not reach the committed entry %d within 10 s", goal)
+}
+
 // healthy reports whether, by every membership in force somewhere, a quorum is up.
 func (m *machine) healthy() bool {
 	known := false
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -26,17 +26,17 @@
 	n.beatDue = false
 }
 
-// fill sends entries or a snapshot and reports whether it sent anything.
+// fill sends entries or a snapshot and reports whether it sent an append. A snapshot
+// does not replace the heartbeat.
 func (n *Node) fill(id NodeID, p *progress, lease bool) (sent bool) {
-	if p.state == installing && n.now >= p.retryAt {
+	if n.needsSnapshot(p) {
 		n.sendSnapshot(id, p)
-		return false // heartbeats go on beside the snapshot
+		return false
 	}
 	for p.next <= n.log.last() && p.mayFill(n.cfg.MaxInflightBytes) {
 		term, ok := n.log.term(p.next - 1)
 		if !ok {
-			n.sendSnapshot(id, p)
-			return false
+			return sent
 		}
 		entries, bytes := n.log.batch(p.next, n.cfg.MaxAppendBytes)
 		n.sendAppend(id, p, lease, Message{Index: p.next - 1, LogTerm: term, Entries: entries})
@@ -46,6 +46,19 @@
 	return sent
 }
 
+// needsSnapshot reports whether the next entry's predecessor is compacted, or a snapshot
+// has not been answered in time. A silent member gets none until it answers a heartbeat.
+func (n *Node) needsSnapshot(p *progress) bool {
+	if n.now-p.contact() >= n.cfg.ElectionTimeout {
+		return false
+	}
+	if p.state == installing {
+		return n.now >= p.retryAt
+	}
+	_, ok := n.log.term(p.next - 1)
+	return !ok
+}
+
 // sendHeartbeat sends an append without entries. Its previous entry is the last one
 // that was sent, so that the follower's answer shows a lost append.
 func (n *Node) sendHeartbeat(id NodeID, p *progress, lease bool) {
--- /dev/null
+++ b/raft/rules_test.go
@@ -0,0 +1,301 @@
+package raft
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+const ms = time.Millisecond
+
+// newNode returns voter v1 of v1 to v3 at time 10 s, restarted from rec if not empty.
+func newNode(rec Recovered) *Node {
+	n := New(Config{ID: "v1", Group: "g", Voters: []NodeID{"v1", "v2", "v3"}}, rec, 10*time.Second)
+	flush(n)
+	return n
+}
+
+// flush advances all work at once and returns the messages.
+func flush(n *Node) (out []Message) {
+	for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+		out = append(out, rd.Messages...)
+		n.Advance(rd)
+	}
+	return out
+}
+
+// step passes m to n, by default from v2 in term 1, and returns what n sends.
+func step(n *Node, now time.Duration, m Message) []Message {
+	m.Group, m.To = "g", n.cfg.ID
+	if m.From == "" {
+		m.From = "v2"
+	}
+	if m.Term == 0 {
+		m.Term = 1
+	}
+	n.Step(now, m)
+	return flush(n)
+}
+
+// newLeader returns v1 as the leader of term 1 at 12 s, before its first Ready of the term.
+func newLeader() *Node {
+	n := newNode(Recovered{})
+	n.Tick(12 * time.Second)
+	n.Tick(12*time.Second + 1) // the gap has moved the deadline
+	n.deadline = n.now
+	n.Tick(12*time.Second + 2)
+	step(n, n.now, Message{Kind: MsgPreVoteResponse})
+	n.Step(n.now, Message{Kind: MsgVoteResponse, Group: "g", From: "v2", To: "v1", Term: 1})
+	return n
+}
+
+// restartedDisk is a disk of v1 with term 1, a vote for v2 and three entries.
+func restartedDisk() Recovered {
+	boot := Entry{Index: 1, Kind: EntryMembership, Data: Membership{Voters: []NodeID{"v1", "v2", "v3"}}.encode()}
+	return Recovered{HardState: HardState{Term: 1, Vote: "v2", Commit: 1, Starts: 4},
+		Entries: []Entry{boot, {Term: 1, Index: 2}, {Term: 1, Index: 3, Data: []byte("x")}}}
+}
+
+// A vote that breaks a promise to a leader lets two leaders hold a lease.
+func TestVoteRules(t *testing.T) {
+	answer := []Message{{Kind: MsgHelloResponse, Hint: 5, Facts: []MemberFact{{ID: "v1"}}},
+		{Kind: MsgHelloResponse, Hint: 5, Facts: []MemberFact{{ID: "v1"}}, From: "v3"}}
+	heartbeat := Message{Kind: MsgAppend, Term: 1}
+	for _, tc := range []struct {
+		name     string
+		rec      Recovered
+		before   []Message
+		after    time.Duration // since the last message before
+		m        Message
+		grant    bool
+		silent   bool
+		wantTerm uint64
+	}{
+		{name: "first start", m: Message{Kind: MsgVote, Index: 1}, grant: true, wantTerm: 1},
+		{name: "pre-vote leaves the term alone", m: Message{Kind: MsgPreVote, Index: 1}, grant: true},
+		{name: "short log", m: Message{Kind: MsgVote}, wantTerm: 1},
+		{name: "leader heard", before: []Message{heartbeat}, after: 499 * ms, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1}, wantTerm: 1},
+		{name: "leader heard, pre-vote", before: []Message{heartbeat}, after: 499 * ms, m: Message{Kind: MsgPreVote, Term: 2, Index: 9, LogTerm: 1}, wantTerm: 1},
+		{name: "leader silent", before: []Message{heartbeat}, after: 500 * ms, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1}, grant: true, wantTerm: 2},
+		{name: "lease given up", before: []Message{heartbeat}, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1, Transfer: true}, grant: true, wantTerm: 2},
+		{name: "second vote in a term", before: []Message{{Kind: MsgVote, Term: 2, Index: 1}}, after: time.Second, m: Message{Kind: MsgVote, From: "v3", Term: 2, Index: 1}, wantTerm: 2},
+		{name: "recovering", rec: restartedDisk(), after: time.Second, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1}, silent: true, wantTerm: 1},
+		{name: "restarted, waiting", rec: restartedDisk(), before: answer, after: 499 * ms, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1}, wantTerm: 1},
+		{name: "restarted, waited", rec: restartedDisk(), before: answer, after: 500 * ms, m: Message{Kind: MsgVote, Term: 2, Index: 9, LogTerm: 1}, grant: true, wantTerm: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNode(tc.rec)
+			for _, m := range tc.before {
+				step(n, n.now, m)
+			}
+			out := step(n, n.now+tc.after, tc.m)
+			quicktest.Assert(t, n.hs.Term, quicktest.Equals, tc.wantTerm)
+			if tc.silent {
+				quicktest.Assert(t, out, quicktest.HasLen, 0)
+				return
+			}
+			quicktest.Assert(t, out, quicktest.HasLen, 1)
+			quicktest.Assert(t, out[0].Reject, quicktest.Equals, !tc.grant)
+		})
+	}
+}
+
+// A disk that lost state must be found, and one that lost nothing must not be accused.
+func TestContradictingFacts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fact   MemberFact
+		hint   uint64
+		forgot bool
+	}{
+		{"nothing known", MemberFact{}, 5, false},
+		{"what the disk holds", MemberFact{Starts: 4, Term: 1, Index: 3, Vote: "v2"}, 5, false},
+		{"same start in the answer to this hello", MemberFact{Starts: 5}, 5, true},
+		{"same start in the answer to an older hello", MemberFact{Starts: 5}, 4, false},
+		{"later start", MemberFact{Starts: 6}, 4, true},
+		{"later term", MemberFact{Term: 2}, 5, true},
+		{"higher index in the same term", MemberFact{Term: 1, Index: 4}, 5, true},
+		{"higher index in an older term, since truncated", MemberFact{Term: 0, Index: 9}, 5, false},
+		{"other vote", MemberFact{Term: 1, Vote: "v3"}, 5, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNode(restartedDisk())
+			tc.fact.ID = "v1"
+			n.Step(n.now, Message{Kind: MsgHelloResponse, Group: "g", From: "v2", To: "v1", Hint: tc.hint, Facts: []MemberFact{tc.fact}})
+			rd, ok := n.Ready()
+			quicktest.Assert(t, n.Status().Role == RoleForgot, quicktest.Equals, tc.forgot)
+			if tc.forgot {
+				quicktest.Assert(t, ok && rd.HardStateChanged && rd.HardState.Forgot, quicktest.IsTrue)
+				n.Advance(rd)
+				quicktest.Assert(t, step(n, n.now+time.Minute, Message{Kind: MsgVote, Term: 9, Index: 99, LogTerm: 8}), quicktest.HasLen, 0)
+				again := New(n.cfg, Recovered{HardState: rd.HardState, Entries: restartedDisk().Entries}, 0)
+				quicktest.Assert(t, again.Status().Role, quicktest.Equals, RoleForgot)
+			}
+		})
+	}
+}
+
+// A voter that takes part before a quorum has answered can hide a rollback, and one that
+// waits for all of them cannot come back while another is down.
+func TestRecovery(t *testing.T) {
+	n := newNode(restartedDisk())
+	quicktest.Assert(t, n.hs.Starts, quicktest.Equals, uint64(5))
+	appended := Message{Kind: MsgAppend, Index: 3, LogTerm: 1}
+	quicktest.Assert(t, step(n, n.now, appended), quicktest.HasLen, 0)
+	step(n, n.now, Message{Kind: MsgHelloResponse, Hint: 4})
+	n.Tick(n.now + 600*ms)
+	quicktest.Assert(t, n.role, quicktest.Equals, RoleRecovering) // that answered an older hello
+	quicktest.Assert(t, len(flush(n)), quicktest.Equals, 2)
+	step(n, n.now, Message{Kind: MsgHelloResponse, Hint: 5})
+	quicktest.Assert(t, n.role, quicktest.Equals, RoleFollower)
+	quicktest.Assert(t, step(n, n.now, appended), quicktest.HasLen, 1)
+}
+
+// An entry or vote that counts before it is synced is lost in a crash.
+func TestCountsOnlyWhatIsPersisted(t *testing.T) {
+	n := newLeader()
+	quicktest.Assert(t, n.role, quicktest.Equals, RoleLeader)
+	rd, _ := n.Ready()
+	_, second := n.Ready()
+	quicktest.Assert(t, second, quicktest.IsFalse)
+	n.Step(n.now, Message{Kind: MsgAppendResponse, Group: "g", From: "v2", To: "v1", Term: 1, Index: 2})
+	quicktest.Assert(t, n.log.commit, quicktest.Equals, uint64(1))
+	n.Advance(rd)
+	quicktest.Assert(t, n.log.commit, quicktest.Equals, uint64(2))
+
+	single := New(Config{ID: "v1", Group: "g", Voters: []NodeID{"v1"}}, Recovered{}, 0)
+	flush(single)
+	single.startPreVote()
+	rd, _ = single.Ready()
+	quicktest.Assert(t, single.role, quicktest.Equals, RoleCandidate)
+	single.Advance(rd)
+	quicktest.Assert(t, single.role, quicktest.Equals, RoleLeader)
+}
+
+// A leader that does not notice a pause acts beside its successor.
+func TestPauseEndsLease(t *testing.T) {
+	n := newLeader()
+	flush(n)
+	sent := n.now
+	step(n, sent+300*ms, Message{Kind: MsgAppendResponse, Index: 2, Echo: sent})
+	quicktest.Assert(t, n.LeaseValid(sent+399*ms), quicktest.IsTrue)
+	quicktest.Assert(t, n.LeaseValid(sent+400*ms), quicktest.IsFalse)
+	_, _, err := n.Propose(sent+500*ms, []byte("x"))
+	quicktest.Assert(t, errors.Is(err, ErrNotLeader), quicktest.IsTrue)
+	n.Step(sent+500*ms, Message{Kind: MsgAppendResponse, Group: "g", From: "v2", To: "v1", Term: 1, Index: 2, Echo: sent + 450*ms})
+	quicktest.Assert(t, n.LeaseValid(sent+500*ms), quicktest.IsFalse)
+}
+
+// An echo of an earlier start has another origin of time and may lie in the future or
+// look recent.
+func TestConfirmationIsOfThisStart(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		m    Message
+		want time.Duration
+	}{
+		{"confirmed", Message{LeaseHeld: true, Echo: 9 * time.Second, EchoStarts: 1}, 9 * time.Second},
+		{"no lease", Message{Echo: 9 * time.Second, EchoStarts: 1}, 0},
+		{"other start", Message{LeaseHeld: true, Echo: 9 * time.Second, EchoStarts: 2}, 0},
+		{"future", Message{LeaseHeld: true, Echo: 11 * time.Second, EchoStarts: 1}, 0},
+	} {
+		n := newNode(Recovered{})
+		tc.m.Kind = MsgAppend
+		step(n, n.now, tc.m)
+		at, _ := n.ConfirmedAt()
+		quicktest.Check(t, at, quicktest.Equals, tc.want, quicktest.Commentf("%s", tc.name))
+	}
+}
+
+// Two changes at once need not share a quorum, and a voter that is behind blocks commits.
+func TestMembershipRules(t *testing.T) {
+	n := newLeader()
+	propose := func(kind ChangeKind, id NodeID) error { return n.ProposeMembership(n.now, Change{kind, id}) }
+	ack := func(id NodeID, index uint64, observer bool) {
+		step(n, n.now, Message{Kind: MsgAppendResponse, From: id, Index: index, Echo: n.now, Observer: observer})
+	}
+	quicktest.Assert(t, propose(AddLearner, "l1"), quicktest.Equals, ErrTermNotCommitted)
+	flush(n)
+	ack("v2", 2, false)
+	quicktest.Assert(t, propose(AddLearner, "v2"), quicktest.Equals, ErrAlreadyMember)
+	quicktest.Assert(t, propose(RemoveMember, "x"), quicktest.Equals, ErrUnknownMember)
+	quicktest.Assert(t, propose(PromoteLearner, "v2"), quicktest.Equals, ErrUnknownMember)
+	quicktest.Assert(t, propose(0, "v2"), quicktest.Equals, ErrInvalidChange)
+	quicktest.Assert(t, propose(AddLearner, "l1"), quicktest.IsNil)
+	quicktest.Assert(t, propose(AddLearner, "l2"), quicktest.Equals, ErrChangePending)
+	flush(n)
+	ack("v2", 3, false)
+	quicktest.Assert(t, propose(PromoteLearner, "l1"), quicktest.Equals, ErrNotCaughtUp)
+	ack("l1", 3, true)
+	quicktest.Assert(t, propose(PromoteLearner, "l1"), quicktest.Equals, ErrObserver)
+	ack("l1", 3, false)
+	quicktest.Assert(t, propose(PromoteLearner, "l1"), quicktest.IsNil)
+	quicktest.Assert(t, n.membership.quorum(), quicktest.Equals, 3)
+	_, err := Membership{Voters: []NodeID{"v1"}}.apply(Change{RemoveMember, "v1"})
+	quicktest.Assert(t, err, quicktest.Equals, ErrLastVoter)
+}
+
+// A node that cannot store must not vote, acknowledge or lead, nor may an observer stand.
+func TestUnableNodes(t *testing.T) {
+	n := newLeader()
+	n.SetStorageFailed()
+	quicktest.Assert(t, n.LeaseValid(n.now), quicktest.IsFalse)
+	quicktest.Assert(t, step(n, n.now+time.Minute, Message{Kind: MsgVote, Term: 9, Index: 9, LogTerm: 9}), quicktest.HasLen, 0)
+	quicktest.Assert(t, n.Status().Role.String(), quicktest.Equals, "storage-failed")
+
+	o := New(Config{ID: "v1", Group: "g", Voters: []NodeID{"v1"}, Observer: true}, Recovered{}, 0)
+	for now := range 100 {
+		o.Tick(time.Duration(now) * 50 * ms)
+	}
+	quicktest.Assert(t, o.hs.Term, quicktest.Equals, uint64(0))
+}
+
+// Without a bound, a slow follower makes the leader queue its whole log.
+func TestFlowControl(t *testing.T) {
+	n := newLeader()
+	n.cfg.MaxAppendBytes, n.cfg.MaxInflightBytes = 1000, 4000
+	flush(n)
+	step(n, n.now, Message{Kind: MsgAppendResponse, Index: 2})
+	for range 100 {
+		_, _, err := n.Propose(n.now, make([]byte, 476))
+		quicktest.Assert(t, err, quicktest.IsNil)
+	}
+	bytes := map[NodeID]int{}
+	for _, m := range flush(n) {
+		bytes[m.To] += len(m.Entries) * 500
+	}
+	quicktest.Assert(t, bytes["v2"], quicktest.Equals, 4000)
+	quicktest.Assert(t, bytes["v3"], quicktest.Equals, 0) // its first probe is not answered
+}
+
+// Repairing a diverged log entry by entry takes a round trip each.
+func TestConflictHints(t *testing.T) {
+	leader, follower := newLeader(), newNode(Recovered{})
+	var a, b []Entry
+	for i := uint64(2); i <= 1000; i++ { // terms change every 100 entries, differently
+		a = append(a, Entry{Term: 1 + i/100*2, Index: i})
+		b = append(b, Entry{Term: 2 + i/100*2, Index: i})
+	}
+	leader.log.truncate(2)
+	leader.log.append(a...)
+	leader.hs.Term = 30
+	leader.progress["v2"].enter(probing, 1001)
+	follower.log.append(b...)
+	follower.cfg.ID = "v2"
+	rounds := 0
+	for ; leader.progress["v2"].match < 1000 && rounds < 100; rounds++ {
+		leader.beatDue = true
+		for _, m := range flush(leader) {
+			if m.To == "v2" {
+				follower.Step(follower.now, m)
+			}
+		}
+		for _, m := range flush(follower) {
+			leader.Step(leader.now, m)
+		}
+	}
+	quicktest.Assert(t, follower.log.last(), quicktest.Equals, uint64(1000))
+	quicktest.Assert(t, rounds <= 12, quicktest.IsTrue, quicktest.Commentf("%d rounds", rounds))
+}
