--- a/raft/machine_test.go
+++ b/raft/machine_test.go
@@ -47,7 +47,7 @@
 			m.proposals(t)
 			m.run(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond)
 		}
-		faults := []func(*rapid.T){m.jump, m.message, m.partialWork, m.crashOrStart, m.crashOrStart, m.pause, m.cutOff}
+		faults := []func(*rapid.T){m.jump, m.message, m.partialWork, m.crashOrStart, m.crashOrStart, m.pause, m.cutOff, m.cutLink, m.cutLink}
 		rare := []func(*rapid.T){m.copyDisks, m.restore, m.loseDisk, m.compactOne, m.transfer, m.stepDown}
 		t.Repeat(map[string]func(*rapid.T){
 			"":       func(*rapid.T) { m.check() },
@@ -114,7 +114,7 @@
 
 func (m *machine) proposals(t *rapid.T) {
 	m.onLeader(func(h *host) {
-		for range rapid.IntRange(1, 30).Draw(t, "count") {
+		for range rapid.IntRange(0, 30).Draw(t, "count") {
 			m.propose(h)
 		}
 	})
@@ -152,6 +152,16 @@
 	h.cut = !h.cut
 }
 
+// cutLink cuts or restores the link between two hosts, sometimes in one direction only.
+func (m *machine) cutLink(t *rapid.T) {
+	a, b := m.pick(t).cfg.ID, m.pick(t).cfg.ID
+	blocked := !m.blocked[[2]NodeID{a, b}]
+	m.blocked[[2]NodeID{a, b}] = blocked
+	if rapid.IntRange(0, 3).Draw(t, "one way") > 0 {
+		m.blocked[[2]NodeID{b, a}] = blocked
+	}
+}
+
 func (m *machine) compactOne(t *rapid.T) {
 	if h := m.pick(t); h.running() {
 		m.compact(h)
@@ -193,7 +203,7 @@
 	for _, o := range m.hosts {
 		o.paused = false
 	}
-	m.restored = true
+	m.restored, h.rolledBack = true, true
 	h.disk = *h.copy
 	m.start(h)
 	for range 3 {
@@ -264,6 +274,7 @@
 // elects a leader, keeps everything committed and commits more.
 func (m *machine) heal() {
 	m.loss, m.maxSync = 0, 0
+	clear(m.blocked)
 	for _, id := range m.ids {
 		h := m.hosts[id]
 		h.cut, h.paused = false, false
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -94,3 +94,26 @@
 	quicktest.Assert(t, late.disk.Snapshot.Index, quicktest.Equals, h.disk.Snapshot.Index)
 	quicktest.Assert(t, late.node.log.applied, quicktest.Equals, h.node.log.last())
 }
+
+// A voter that restarts forgets its promise to the leader; if it voted at once, a
+// candidate that does not reach the leader would hold a second lease.
+func TestRestartKeepsLeasePromise(t *testing.T) {
+	for seed := range uint64(200) {
+		c := newCluster(t, seed, 3)
+		h := c.waitLeader()
+		var others []NodeID
+		for _, id := range c.ids {
+			if id != h.cfg.ID {
+				others = append(others, id)
+			}
+		}
+		c.blocked[[2]NodeID{h.cfg.ID, others[1]}] = true
+		c.blocked[[2]NodeID{others[1], h.cfg.ID}] = true
+		c.run(500 * time.Millisecond)
+		for range 10 {
+			c.crash(c.hosts[others[0]])
+			c.start(c.hosts[others[0]])
+			c.run(100 * time.Millisecond) // checks that one lease is held at most
+		}
+	}
+}
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// An acknowledgement from before a rollback speaks for entries that are gone.
+func TestLateMessagesOfEarlierStart(t *testing.T) {
+	n := newLeader()
+	flush(n)
+	step(n, n.now, Message{Kind: MsgHello, Starts: 3})
+	step(n, n.now, Message{Kind: MsgAppendResponse, Index: 2, Starts: 2})
+	quicktest.Assert(t, n.log.commit, quicktest.Equals, uint64(1))
+	step(n, n.now, Message{Kind: MsgAppendResponse, Index: 2, Starts: 3})
+	quicktest.Assert(t, n.log.commit, quicktest.Equals, uint64(2))
+}
+
 // A voter that takes part before a quorum has answered can hide a rollback, and one that
 // waits for all of them cannot come back while another is down.
 func TestRecovery(t *testing.T) {
@@ -167,7 +178,10 @@
 
 	single := New(Config{ID: "v1", Group: "g", Voters: []NodeID{"v1"}}, Recovered{}, 0)
 	flush(single)
+	single.Step(0, Message{Kind: MsgPreVote, Group: "g", From: "v2", To: "v1", Term: 1})
+	earlier, _ := single.Ready()
 	single.startPreVote()
+	single.Advance(earlier) // written before the vote
 	rd, _ = single.Ready()
 	quicktest.Assert(t, single.role, quicktest.Equals, RoleCandidate)
 	single.Advance(rd)
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -16,15 +16,16 @@
 
 // host is one simulated machine: a clock, a disk and, while it is up, a node.
 type host struct {
-	cfg     Config
-	node    *Node // nil while down
-	rate    float64
-	boot    time.Duration // true time of the last start
-	disk    Recovered
-	copy    *Recovered // an old copy of the disk
-	pending *Ready     // returned and not yet synced
-	paused  bool
-	cut     bool // the network loses everything from and to it
+	cfg        Config
+	node       *Node // nil while down
+	rate       float64
+	boot       time.Duration // true time of the last start
+	disk       Recovered
+	copy       *Recovered // an old copy of the disk
+	pending    *Ready     // returned and not yet synced
+	paused     bool
+	cut        bool // the network loses everything from and to it
+	rolledBack bool // an old copy of the disk was restored
 }
 
 func (h *host) local(t time.Duration) time.Duration {
@@ -46,7 +47,8 @@
 	ids     []NodeID
 	net     []Message
 	loss    float64
-	maxSync int // with a probability of 1 in maxSync a Ready stays unsynced for a round
+	blocked map[[2]NodeID]bool // one-way links, from and to
+	maxSync int                // with a probability of 1 in maxSync a Ready stays unsynced for a round
 	// leaders holds the leader of each term; committed all committed entries, and
 	// commitTimes the true time when the index was first known as committed.
 	leaders     map[uint64]NodeID
@@ -57,7 +59,8 @@
 
 func newCluster(t failer, seed uint64, voters int, learners ...NodeID) *cluster {
 	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Second,
-		hosts: map[NodeID]*host{}, leaders: map[uint64]NodeID{}}
+		hosts: map[NodeID]*host{}, leaders: map[uint64]NodeID{},
+		blocked: map[[2]NodeID]bool{}}
 	var vs []NodeID
 	for i := range voters {
 		vs = append(vs, NodeID(fmt.Sprintf("v%d", i+1)))
@@ -166,7 +169,8 @@
 	c.net[i] = c.net[len(c.net)-1]
 	c.net = c.net[:len(c.net)-1]
 	from, to := c.hosts[m.From], c.hosts[m.To]
-	if to == nil || to.node == nil || from.cut || to.cut || c.rng.Float64() < c.loss {
+	lost := from.cut || to == nil || to.cut || c.blocked[[2]NodeID{m.From, m.To}]
+	if lost || to.node == nil || c.rng.Float64() < c.loss {
 		return
 	}
 	if to.paused {
@@ -260,6 +264,9 @@
 			}
 			lease = id
 		}
+		if h.node.role == RoleForgot && !h.rolledBack {
+			c.t.Fatalf("%s forgot without a rollback", id)
+		}
 		c.checkConfirmed(h)
 	}
 	c.checkLogs()
