raft: ignore malformed appends; fewer allocations per message

Cause: an append whose entries do not follow its previous entry would have been stored with wrong indexes, and every message to a leader allocated and sorted a list of members.

--- a/raft/lease.go
+++ b/raft/lease.go
@@ -8,7 +8,8 @@
 // quorumTime returns the newest local time such that a quorum of voters has a time at
 // or after it; the leader itself counts with the present. Without a quorum it is 0.
 func (n *Node) quorumTime(of func(*progress) time.Duration) time.Duration {
-	times := make([]time.Duration, 0, len(n.membership.Voters))
+	var buffer [maxUsualVoters]time.Duration
+	times := buffer[:0]
 	for _, id := range n.membership.Voters {
 		if id == n.cfg.ID {
 			times = append(times, n.now)
--- a/raft/log.go
+++ b/raft/log.go
@@ -29,11 +29,14 @@
 	s := rec.Snapshot
 	l := raftLog{snapshot: s, prevIndex: s.Index, prevTerm: s.Term, commit: s.Index,
 		emitted: s.Index, applied: s.Index, appliedTerm: s.Term}
-	l.entries = append(l.entries, rec.Entries...)
-	for i, e := range l.entries {
-		if e.Index != s.Index+1+uint64(i) {
-			panic(fmt.Sprintf("raft: recovered entry %d where %d is expected", e.Index, s.Index+1+uint64(i)))
+	for _, e := range rec.Entries {
+		if e.Index <= s.Index {
+			continue
+		}
+		if e.Index != l.last()+1 {
+			panic(fmt.Sprintf("raft: recovered entry %d where %d is expected", e.Index, l.last()+1))
 		}
+		l.append(e)
 	}
 	l.stable = l.last()
 	l.commitTo(rec.HardState.Commit)
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -18,6 +18,9 @@
 	RemoveMember
 )
 
+// maxUsualVoters sizes buffers on the stack; more voters than this cost an allocation.
+const maxUsualVoters = 9
+
 // Change is a membership change of one node.
 type Change struct {
 	Kind ChangeKind
@@ -210,8 +213,9 @@
 			delete(n.progress, id)
 		}
 	}
-	for _, id := range n.membership.members() {
-		if id != n.cfg.ID && n.progress[id] == nil {
+	n.others = slices.DeleteFunc(n.membership.members(), func(id NodeID) bool { return id == n.cfg.ID })
+	for _, id := range n.others {
+		if n.progress[id] == nil {
 			n.progress[id] = newProgress(n.log.last()+1, n.now)
 		}
 	}
--- a/raft/node.go
+++ b/raft/node.go
@@ -40,7 +40,8 @@
 
 	// Leading.
 	progress    map[NodeID]*progress
-	termStart   uint64 // index of the empty entry of this term
+	others      []NodeID // the keys of progress, sorted
+	termStart   uint64   // index of the empty entry of this term
 	beatAt      time.Duration
 	beatDue     bool
 	commitMarks [2]uint64 // commit index at the last two heartbeats, older first
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -18,8 +18,8 @@
 // those that get nothing else when a round is due.
 func (n *Node) sendAppends() {
 	lease := n.LeaseValid(n.now) && n.termCommitted()
-	for _, id := range n.membership.members() {
-		if p := n.progress[id]; p != nil && !n.fill(id, p, lease) && n.beatDue {
+	for _, id := range n.others {
+		if p := n.progress[id]; !n.fill(id, p, lease) && n.beatDue {
 			n.sendHeartbeat(id, p, lease)
 		}
 	}
@@ -119,8 +119,18 @@
 	n.send(m)
 }
 
+// contiguous reports whether the entries of an append follow its previous entry.
+func contiguous(m Message) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) onAppend(m Message) {
-	if !n.followLeader(m) {
+	if !contiguous(m) || !n.followLeader(m) {
 		return
 	}
 	n.noteConfirmation(m)
@@ -219,7 +229,8 @@
 // advanceCommit commits what a quorum of voters holds, if it ends with an entry of
 // this term. The leader itself counts with what it has persisted.
 func (n *Node) advanceCommit() {
-	held := make([]uint64, 0, len(n.membership.Voters))
+	var buffer [maxUsualVoters]uint64
+	held := buffer[:0]
 	for _, id := range n.membership.Voters {
 		if id == n.cfg.ID {
 			held = append(held, n.log.stable)
--- a/raft/types.go
+++ b/raft/types.go
@@ -86,6 +86,7 @@
 }
 
 // Recovered is what the data folder held at start. The zero value is a first start.
+// Entries up to Snapshot.Index are ignored; New panics on a gap.
 type Recovered struct {
 	HardState HardState
 	Snapshot  Snapshot
