--- a/raft/bench_test.go
+++ b/raft/bench_test.go
@@ -8,85 +8,49 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// quietCluster is three nodes without loss or clock drift, driven without checks.
-type quietCluster struct {
-	nodes  []*Node
-	byID   map[NodeID]*Node
-	leader *Node
-	now    time.Duration
-}
-
-func newQuietCluster() *quietCluster {
-	c := &quietCluster{byID: map[NodeID]*Node{}}
-	ids := []NodeID{"vm1#5f2a9c", "vm2#6a3b0d", "vm3#7b4c1e"}
-	for i, id := range ids {
-		c.byID[id] = New(Config{ID: id, Group: "control", Voters: ids, Seed: uint64(i)}, Recovered{}, 0)
-		c.nodes = append(c.nodes, c.byID[id])
-	}
-	for c.leader == nil {
-		c.tick(10*time.Millisecond, func(Message) {})
-		for _, n := range c.nodes {
-			if n.role == RoleLeader && n.AppliedTerm() > 0 {
-				c.leader = n
-			}
-		}
-	}
-	return c
-}
-
-func (c *quietCluster) tick(d time.Duration, seen func(Message)) {
-	c.now += d
-	for _, n := range c.nodes {
-		n.Tick(c.now)
-	}
-	c.exchange(seen)
-}
-
-// exchange delivers messages until there are none; seen is called for each.
-func (c *quietCluster) exchange(seen func(Message)) {
-	for again := true; again; {
-		again = false
-		for _, n := range c.nodes {
-			for _, m := range flush(n) {
-				again = true
-				seen(m)
-				c.byID[m.To].Step(c.now, m)
-			}
-		}
+// newQuietCluster returns three nodes with the default limits, and their leader.
+func newQuietCluster(b *testing.B) (*cluster, *host) {
+	c := newCluster(b, 1, 3)
+	for _, h := range c.hosts {
+		h.cfg.MaxAppendBytes, h.cfg.MaxInflightBytes, h.cfg.KeepBytes = 0, 0, 0
+		c.start(h)
 	}
+	return c, c.waitLeader()
 }
 
 // BenchmarkPropose measures proposals of 180 B that are committed on three nodes in
 // memory, 64 at a time.
 func BenchmarkPropose(b *testing.B) {
-	c, data, ignore := newQuietCluster(), make([]byte, 180), func(Message) {}
+	c, h := newQuietCluster(b)
+	data, ignore := make([]byte, 180), func(Message) {}
 	b.ReportAllocs()
 	start := time.Now()
 	for i := 0; i < b.N; i++ {
-		if _, _, err := c.leader.Propose(c.now, data); err != nil {
+		if _, _, err := h.node.Propose(h.local(c.now), data); err != nil {
 			b.Fatal(err)
 		}
 		if i%64 == 63 {
-			c.exchange(ignore)
+			c.settle(ignore)
 		}
-		for _, n := range c.nodes {
+		for _, h := range c.hosts {
 			if i%20000 == 19999 {
-				_, _ = n.Compact(n.log.applied, nil)
+				_, _ = h.node.Compact(h.node.log.applied, nil)
 			}
 		}
 	}
-	c.exchange(ignore)
+	c.settle(ignore)
 	b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "proposals/s")
 }
 
 // BenchmarkHeartbeat measures a round of heartbeats to two followers and their answers,
 // and the bytes of one heartbeat and one answer in CBOR, averaged over the round.
 func BenchmarkHeartbeat(b *testing.B) {
-	c := newQuietCluster()
+	c, _ := newQuietCluster(b)
 	bytes := map[MessageKind]int{}
 	b.ReportAllocs()
 	for i := 0; i < b.N; i++ {
-		c.tick(50*time.Millisecond, func(m Message) {
+		c.tickAll(50 * time.Millisecond)
+		c.settle(func(m Message) {
 			if i >= 100 {
 				return
 			}
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -303,22 +303,12 @@
 // that got none would not notice a lost append.
 func TestLearnerHeartbeats(t *testing.T) {
 	c := newCluster(t, 6, 3, "l1")
-	h := c.waitLeader()
-	c.net = nil
+	voter, _ := c.others(c.waitLeader())
 	count := map[NodeID]int{}
-	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
-		c.now += 10 * ms
-		h.node.Tick(h.local(c.now))
-		for _, m := range flush(h.node) {
-			count[m.To]++
-			o := c.hosts[m.To].node
-			o.Step(c.hosts[m.To].local(c.now), m)
-			for _, r := range flush(o) {
-				h.node.Step(h.local(c.now), r)
-			}
-		}
+	for range 1000 {
+		c.tickAll(10 * ms)
+		c.settle(func(m Message) { count[m.To]++ })
 	}
-	voter, _ := c.others(h)
 	quicktest.Assert(t, count[voter.cfg.ID] > 150, quicktest.IsTrue, quicktest.Commentf("%v", count))
 	quicktest.Assert(t, count["l1"] >= 30 && count["l1"] <= 45, quicktest.IsTrue, quicktest.Commentf("%v", count))
 }
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -59,7 +59,7 @@
 		blocked: map[[2]NodeID]bool{}}
 	var vs []NodeID
 	for i := range voters {
-		vs = append(vs, NodeID(fmt.Sprintf("v%d", i+1)))
+		vs = append(vs, NodeID(fmt.Sprintf("vm%d#5f2a9c", i+1)))
 	}
 	for _, id := range append(slices.Clone(vs), learners...) {
 		c.add(Config{ID: id, Voters: vs, Learners: learners})
@@ -191,6 +191,29 @@
 	}
 }
 
+// tickAll lets d pass on all nodes.
+func (c *cluster) tickAll(d time.Duration) {
+	c.now += d
+	for _, id := range c.ids {
+		c.hosts[id].node.Tick(c.hosts[id].local(c.now))
+	}
+}
+
+// settle exchanges messages without loss or delay until there are none, and without
+// checks, for benchmarks and single rules; seen is called for each message.
+func (c *cluster) settle(seen func(Message)) {
+	for again := true; again; {
+		again = false
+		for _, id := range c.ids {
+			for _, m := range flush(c.hosts[id].node) {
+				again = true
+				seen(m)
+				c.hosts[m.To].node.Step(c.hosts[m.To].local(c.now), m)
+			}
+		}
+	}
+}
+
 func (c *cluster) work(h *host) {
 	c.take(h)
 	if c.maxSync == 0 || c.rng.IntN(c.maxSync) > 0 {
