raft: recovery accepts a quorum of any known membership

Cause: one of 29,952 random runs ended with a learner that stayed in recovery. It had taken over an uncommitted membership from an answer, which was later dropped, and waited for a voter that was gone.

Change: a recovering node keeps the membership of each answer, asks the voters of all of them, and ends its recovery with a quorum of any of them, its own included. It waits for all of them up to an election timeout as before.

--- a/raft/node.go
+++ b/raft/node.go
@@ -50,14 +50,11 @@
 	transferEnd time.Duration
 
 	// Recovery.
-	facts       map[NodeID]MemberFact
-	started     map[NodeID]uint64 // Starts in the newest hello of a member
-	answered    map[NodeID]bool
-	helloAt     time.Duration
-	recoverWait time.Duration // when a quorum of answers is enough
-	// peers is the newest membership known from the disk or an answer, of entry peersIndex.
-	peers      Membership
-	peersIndex uint64
+	facts    map[NodeID]MemberFact
+	started  map[NodeID]uint64 // Starts in the newest hello of a member
+	answered map[NodeID]bool
+	helloAt  time.Duration
+	reported map[NodeID]Membership // by the disk, under the own name, and by the answers
 }
 
 // New returns a node. rec is the zero value on first start, else what the data folder
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // A data folder that was restored from an old copy makes a node forget votes and
 // acknowledgements that others count on. The order of states that a disk goes through
 // is total: by Starts, then by term, and within a term by vote and by the index that
@@ -7,8 +9,8 @@
 // seen of each member (MemberFact); the leader passes on what it knows of the voters
 // once per election timeout. A restarted node asks all peers (hello) and takes part
 // when a quorum, itself included, has answered and either all voters have answered or
-// an election timeout has passed. A later answer that shows a loss still counts. The
-// voters are those of the newest membership that its disk or an answer shows.
+// an election timeout has passed. A later answer that shows a loss still counts. As its
+// own membership may be out of date, the answers carry that of the peers.
 //
 // All voters may restart at once: a recovering node answers a hello, so they recover
 // from each other. A single voter needs no answer; it waits all the same, so that the
@@ -24,9 +26,7 @@
 func (n *Node) startRecovery() {
 	n.role = RoleRecovering
 	n.voteAfter = n.now + n.cfg.ElectionTimeout
-	n.recoverWait = n.voteAfter
-	n.answered = map[NodeID]bool{}
-	n.peers, n.peersIndex = n.membership, n.changeIndex()
+	n.answered, n.reported = map[NodeID]bool{}, map[NodeID]Membership{n.cfg.ID: n.membership}
 	n.sendHello()
 	n.finishRecovery()
 }
@@ -36,18 +36,30 @@
 	n.finishRecovery()
 }
 
-// sendHello asks the voters that have not answered yet.
+// peers returns the other voters of all memberships that the disk or an answer shows,
+// sorted so that the order of messages is repeatable.
+func (n *Node) peers() []NodeID {
+	var ids []NodeID
+	for _, ms := range n.reported {
+		ids = append(ids, ms.Voters...)
+	}
+	slices.Sort(ids)
+	return slices.DeleteFunc(slices.Compact(ids), func(id NodeID) bool { return id == n.cfg.ID })
+}
+
+// sendHello asks all peers while the node recovers, since the membership in an answer
+// may be out of date by now; afterwards only those that have not answered.
 func (n *Node) sendHello() {
 	n.helloAt = n.now + 2*n.cfg.HeartbeatInterval
-	for _, id := range n.peers.Voters {
-		if id != n.cfg.ID && !n.answered[id] {
+	for _, id := range n.peers() {
+		if n.role == RoleRecovering || !n.answered[id] {
 			n.send(Message{Kind: MsgHello, To: id})
 		}
 	}
 }
 
-// repeatHello repeats the hello to silent voters, also after recovery but then only
-// until the wait after the restart is over.
+// repeatHello repeats the hello, after recovery only until the wait after the restart
+// is over.
 func (n *Node) repeatHello() {
 	if n.answered != nil && n.now >= n.helloAt && (n.role == RoleRecovering || n.now < n.voteAfter) {
 		n.sendHello()
@@ -56,42 +68,36 @@
 
 // finishRecovery lets the node take part if enough voters have answered.
 func (n *Node) finishRecovery() {
-	if len(n.peers.Voters) == 0 && len(n.answered) == 0 {
-		return
-	}
-	have, others := 0, 0
-	for _, id := range n.peers.Voters {
-		switch {
-		case id == n.cfg.ID:
-			have++
-			continue
-		case n.answered[id]:
-			have++
-		default:
-			others++
-		}
-	}
-	all := others == 0 && len(n.answered) > 0
-	if have < n.answersNeeded() || !all && n.now < n.recoverWait {
+	silent := slices.ContainsFunc(n.peers(), func(id NodeID) bool { return !n.answered[id] })
+	if n.now < n.voteAfter && (silent || len(n.answered) == 0) || !n.quorumAnswered() {
 		return
 	}
 	n.role = n.passiveRole()
 	n.resetDeadline()
 }
 
-// answersNeeded is a quorum; a node that stopped before it learned the membership takes
-// the answer of one leader.
-func (n *Node) answersNeeded() int {
-	if len(n.peers.Voters) == 0 {
-		return 0
+// quorumAnswered reports whether a quorum of some membership has answered, the node
+// itself included. Which of the memberships is in force cannot be told: the newest may
+// be an uncommitted one that is dropped again.
+func (n *Node) quorumAnswered() bool {
+	for _, ms := range n.reported {
+		have := 0
+		for _, id := range ms.Voters {
+			if id == n.cfg.ID || n.answered[id] {
+				have++
+			}
+		}
+		if have >= ms.quorum() {
+			return true
+		}
 	}
-	return n.peers.quorum()
+	return false
 }
 
-// askStranger sends a hello to a leader or candidate that this disk does not know as a
-// voter: the membership may have changed.
+// askStranger sends a hello to a leader or candidate that is not known as a voter: the
+// membership may have changed.
 func (n *Node) askStranger(m Message) {
-	if !n.peers.IsVoter(m.From) && !n.answered[m.From] {
+	if !n.answered[m.From] && !slices.Contains(n.peers(), m.From) {
 		n.send(Message{Kind: MsgHello, To: m.From})
 	}
 }
@@ -121,8 +127,7 @@
 		f = f.merge(MemberFact{Term: n.hs.Term, Vote: to})
 	}
 	ms := n.membership.clone()
-	n.send(Message{Kind: MsgHelloResponse, To: to, Hint: starts, Facts: []MemberFact{f},
-		Index: n.changeIndex(), Membership: &ms})
+	n.send(Message{Kind: MsgHelloResponse, To: to, Hint: starts, Facts: []MemberFact{f}, Membership: &ms})
 }
 
 func (n *Node) onHelloResponse(m Message) {
@@ -135,8 +140,8 @@
 	if n.answered == nil {
 		return
 	}
-	if m.Membership != nil && m.Index > n.peersIndex {
-		n.peers, n.peersIndex = *m.Membership, m.Index
+	if m.Membership != nil {
+		n.reported[m.From] = *m.Membership
 	}
 	if m.Hint != n.hs.Starts {
 		return
--- a/raft/types.go
+++ b/raft/types.go
@@ -158,8 +158,8 @@
 	// Facts are what the sender knows of the addressee (MsgHelloResponse) or of the
 	// other voters (MsgAppend).
 	Facts []MemberFact `cbor:"20,keyasint,omitempty"`
-	// Membership is the sender's newest in a MsgHelloResponse, and Index its entry. The
-	// membership on the disk of a restarted voter may be out of date.
+	// Membership is the sender's newest in a MsgHelloResponse. The one on the disk of a
+	// restarted voter may be out of date.
 	Membership *Membership `cbor:"21,keyasint,omitempty"`
 }
 
