--- a/raft/replication.go
+++ b/raft/replication.go
@@ -5,6 +5,11 @@
 // snapshotWait is the first wait for the answer to a snapshot, in election timeouts.
 const snapshotWait = 4
 
+// learnerRounds is the number of rounds in which an idle learner gets one heartbeat. It
+// gives no vote and no lease; at 250 ms it still learns of a lost message soon, and the
+// leader of a group with many learners sends less over the link between regions.
+const learnerRounds = 5
+
 // tickLeader starts a round of heartbeats when it is due.
 func (n *Node) tickLeader() {
 	if n.now < n.beatAt {
@@ -18,25 +23,25 @@
 // those that get nothing else when a round is due.
 func (n *Node) sendAppends() {
 	lease := n.LeaseValid(n.now) && n.termCommitted()
-	for _, id := range n.membership.members() {
-		if p := n.progress[id]; p != nil && !n.fill(id, p, lease) && n.beatDue {
+	for _, id := range n.others {
+		if p := n.progress[id]; !n.fill(id, p, lease) && n.beatDue && n.needsHeartbeat(id, p) {
 			n.sendHeartbeat(id, p, lease)
 		}
 	}
 	n.beatDue = false
 }
 
-// fill sends entries or a snapshot and reports whether it sent anything.
+// fill sends entries or a snapshot and reports whether it sent an append. A snapshot
+// does not replace the heartbeat.
 func (n *Node) fill(id NodeID, p *progress, lease bool) (sent bool) {
-	if p.state == installing && n.now >= p.retryAt {
+	if n.needsSnapshot(p) {
 		n.sendSnapshot(id, p)
-		return false // heartbeats go on beside the snapshot
+		return false
 	}
 	for p.next <= n.log.last() && p.mayFill(n.cfg.MaxInflightBytes) {
 		term, ok := n.log.term(p.next - 1)
 		if !ok {
-			n.sendSnapshot(id, p)
-			return false
+			return sent
 		}
 		entries, bytes := n.log.batch(p.next, n.cfg.MaxAppendBytes)
 		n.sendAppend(id, p, lease, Message{Index: p.next - 1, LogTerm: term, Entries: entries})
@@ -46,6 +51,29 @@
 	return sent
 }
 
+// needsSnapshot reports whether the next entry's predecessor is compacted, or a snapshot
+// has not been answered in time. A silent member gets none until it answers a heartbeat.
+func (n *Node) needsSnapshot(p *progress) bool {
+	if n.now-p.contact() >= n.cfg.ElectionTimeout {
+		return false
+	}
+	if p.state == installing {
+		return n.now >= p.retryAt
+	}
+	_, ok := n.log.term(p.next - 1)
+	return !ok
+}
+
+// needsHeartbeat reports whether the member takes part in this round of heartbeats. A
+// learner that has nothing to learn is left out of most rounds.
+func (n *Node) needsHeartbeat(id NodeID, p *progress) bool {
+	if n.membership.IsVoter(id) || p.state != replicating || p.sentCommit < n.log.commit {
+		return true
+	}
+	p.skipped++
+	return p.skipped >= learnerRounds
+}
+
 // sendHeartbeat sends an append without entries. Its previous entry is the last one
 // that was sent, so that the follower's answer shows a lost append.
 func (n *Node) sendHeartbeat(id NodeID, p *progress, lease bool) {
@@ -60,6 +88,7 @@
 }
 
 func (n *Node) sendAppend(id NodeID, p *progress, lease bool, m Message) {
+	p.sentCommit, p.skipped = n.log.commit, 0
 	m.Kind, m.To, m.Commit = MsgAppend, id, n.log.commit
 	m.SentAt, m.Echo, m.EchoStarts, m.LeaseHeld = n.now, p.token, p.tokenStarts, lease
 	if n.now >= p.factsAt && n.membership.IsVoter(id) {
@@ -106,8 +135,18 @@
 	n.send(m)
 }
 
+// contiguous reports whether the entries of an append follow its previous entry.
+func contiguous(m Message) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) onAppend(m Message) {
-	if !n.followLeader(m) {
+	if !contiguous(m) || !n.followLeader(m) {
 		return
 	}
 	n.noteConfirmation(m)
@@ -206,7 +245,8 @@
 // advanceCommit commits what a quorum of voters holds, if it ends with an entry of
 // this term. The leader itself counts with what it has persisted.
 func (n *Node) advanceCommit() {
-	held := make([]uint64, 0, len(n.membership.Voters))
+	var buffer [maxUsualVoters]uint64
+	held := buffer[:0]
 	for _, id := range n.membership.Voters {
 		if id == n.cfg.ID {
 			held = append(held, n.log.stable)
