partition: pace syncs of workers that do not hold the call

Cause: a worker that answers each sync at once would get the next one at once, without bound. A worker whose process was not announced yet was not synced for longer than its lease. The highest class of a route was not checked.

--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -35,7 +35,6 @@
 	confirmedAt time.Duration
 	confirmed   bool
 	reserved    bool // in the scheduler's account
-	committed   bool // the claim is in the log
 	// ending: its end has been proposed; reported: the worker waits for the
 	// acknowledgement.
 	ending   bool
--- a/partition/config.go
+++ b/partition/config.go
@@ -25,6 +25,14 @@
 	// ackHold bounds how long the next sync waits for the end records of the last
 	// one, so that it carries their acknowledgements instead of fetching them again.
 	ackHold = 250 * time.Millisecond
+	// announceWait is the pause after which a worker whose process has not been
+	// announced is synced again. The worker announces itself after 1 s without a sync,
+	// and its lease of 2 s must not end meanwhile.
+	announceWait = 1250 * time.Millisecond
+	// A worker that answers quickAnswers times in a row within quickAnswer and without
+	// an end does not hold the call; its syncs are then paced by syncRetry.
+	quickAnswers = 5
+	quickAnswer  = 20 * time.Millisecond
 	// commandRetry is the interval at which a revoke or a stop is repeated.
 	commandRetry = 250 * time.Millisecond
 	// decideBatch bounds the placements of one Step or Apply.
--- a/partition/dispatch.go
+++ b/partition/dispatch.go
@@ -68,11 +68,7 @@
 // worker no longer usable, which is certain evidence since nothing was sent.
 func (o *owner) claimed(now time.Duration, c *claimCommand) {
 	a := o.attempts[c.Task]
-	if a == nil {
-		return
-	}
-	a.committed = true
-	if a.state != attemptClaiming {
+	if a == nil || a.state != attemptClaiming {
 		return
 	}
 	r := a.live.rec.attempt(a.id.Attempt)
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -146,10 +146,9 @@
 	w := o.worker(a.Worker)
 	att := &attempt{
 		live: l, worker: w, incarnation: a.Incarnation,
-		id:        api.TaskID{RequestKey: l.key, Attempt: a.Number},
-		state:     attemptUncertain,
-		committed: true,
-		expires:   o.doubtUntil,
+		id:      api.TaskID{RequestKey: l.key, Attempt: a.Number},
+		state:   attemptUncertain,
+		expires: o.doubtUntil,
 	}
 	if a.End == attemptLost {
 		att.state = attemptGone
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -216,6 +216,8 @@
 		w := b.submit("k", change)
 		b.c.Assert(b.replies[w].Err.Field, qt.Equals, field)
 	}
+	above := b.submit("k", func(s *Submit) { s.Route.Class, s.Request.Class = api.ClassNormal, api.ClassUrgent })
+	b.c.Assert(b.replies[above].Err.Field, qt.Equals, "class")
 	for verdict, code := range map[placement.Verdict]api.ErrorCode{
 		placement.NeverFits: api.CodeNeverFits, placement.Overloaded: api.CodeOverloaded, placement.QuotaExceeded: api.CodeNeverFits,
 	} {
@@ -797,6 +799,19 @@
 	b.c.Assert(b.status("k"), qt.Equals, api.StateDone)
 }
 
+// Guards against a stream of syncs to a worker that does not hold the call.
+func TestQuickAnswersArePaced(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1", "i1")
+	n := 1
+	for ; b.syncs["w1"].Sequence != 0; n++ {
+		b.sync("w1", "i1", nil)
+	}
+	b.c.Assert(n, qt.Equals, quickAnswers+1)
+	b.pass(syncRetry)
+	b.sync("w1", "i1", nil)
+}
+
 // Guards against work being rerouted when the tables change under it.
 func TestAcceptedWorkKeepsItsRoute(t *testing.T) {
 	b := newBench(t)
--- a/partition/submit.go
+++ b/partition/submit.go
@@ -80,6 +80,9 @@
 	}
 	if s.Class == "" {
 		s.Class = api.ClassNormal
+		if classRank[e.Route.Class] > classRank[s.Class] {
+			s.Class = e.Route.Class
+		}
 	}
 	return s
 }
@@ -124,8 +127,10 @@
 		return badField("team", "must have at most %d bytes", maxNameBytes)
 	case q.Tasks < 0 || q.Tasks > 1:
 		return badField("tasks", "requests with %d tasks are not supported", q.Tasks)
-	case !validClass(q.Class):
+	case q.Class != "" && classRank[q.Class] == 0:
 		return badField("class", "unknown class %q", q.Class)
+	case q.Class != "" && classRank[q.Class] < classRank[e.Route.Class]:
+		return badField("class", "route %q allows at most class %q", e.Route.Name, e.Route.Class)
 	case q.RunTimeMillis < 0 || q.RunTimeMillis > maxMillis:
 		return badField("run_time_ms", "%d is out of range", q.RunTimeMillis)
 	case q.DeadlineMillis < 0 || q.DeadlineMillis > maxMillis:
@@ -147,9 +152,8 @@
 	return err
 }
 
-func validClass(c api.Class) bool {
-	return c == "" || c == api.ClassUrgent || c == api.ClassNormal || c == api.ClassLow
-}
+// classRank orders the classes, most urgent first; 0 is no class.
+var classRank = map[api.Class]int{api.ClassUrgent: 1, api.ClassNormal: 2, api.ClassLow: 3}
 
 func validResources(r api.Resources) bool {
 	for _, v := range []int64{r.MilliCPU, r.MemoryMB, r.Accelerators} {
--- a/partition/sync.go
+++ b/partition/sync.go
@@ -85,6 +85,11 @@
 		o.replaceIncarnation(now, w, r.Incarnation)
 	}
 	w.noteToken(now, r.Token)
+	if now-w.syncSentAt < quickAnswer && len(r.Ended) == 0 {
+		w.quick++
+	} else {
+		w.quick = 0
+	}
 	w.synced, w.failing, w.lost = true, false, false
 	w.acks, w.ackSent = slices.Delete(w.acks, 0, min(w.ackSent, len(w.acks))), 0
 	w.leaving = w.leaving || r.Leaving || w.ann.Leaving && w.ann.Incarnation == w.incarnation
@@ -108,16 +113,19 @@
 	o.refresh(now, w)
 }
 
-// scheduleSync sends the next sync at once, except in two cases. If ends of this answer
+// scheduleSync sends the next sync at once, except in three cases. If ends of this answer
 // cannot be acknowledged yet, it waits for their commit, since the worker would answer at
 // once with the same ends. If the announcement of the worker's new incarnation is
-// missing, it pauses, since the worker announces itself only while no sync reaches it.
+// missing, it pauses, since the worker announces itself only while no sync reaches it. And
+// a worker that does not hold the call is paced.
 func (o *owner) scheduleSync(now time.Duration, w *workerState) {
 	switch {
 	case w.ann.Incarnation != w.incarnation:
-		w.nextSyncAt = now + o.certainLease
+		w.nextSyncAt = now + announceWait
 	case w.openEnds > 0:
 		w.nextSyncAt = now + ackHold
+	case w.quick > quickAnswers:
+		w.nextSyncAt = now + syncRetry
 	default:
 		o.startSync(now, w)
 	}
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -35,6 +35,7 @@
 	// many ends of the last answer could not be acknowledged.
 	pendingEnds int
 	openEnds    int
+	quick       int // answers in a row that came at once and without an end
 	// acks are the ends to acknowledge; the first ackSent are in the outstanding sync.
 	acks      []api.TaskID
 	ackSent   int
