placement: pause lending while work within its share is passed by

A lane whose retry time had passed and whose team was at its quota was tried without end; the quota now clears the retry time (found by TestAccountsStayExact).

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -36,6 +36,7 @@
 	p.renewTrials(now)
 	p.renewHolds(now)
 	p.renewKept(now)
+	p.renewLending()
 	if len(d.Placements) >= max || !p.isAwake && p.retryAt > now {
 		return
 	}
@@ -108,7 +109,14 @@
 	t := e.lane.class.team
 	if t.exceedsQuota(e.total()) >= 0 {
 		// Only a release of the team changes this, and that unblocks the lane.
-		e.lane.blocked, e.lane.generation = true, p.freed.generation
+		e.lane.blocked, e.lane.retryAt, e.lane.generation = true, 0, p.freed.generation
+		return nil
+	}
+	if p.lendingPaused && t.isBorrowing() && !e.lane.class.isPrivileged() {
+		if w := p.backfill(now, e); w != nil && e.item.Tasks == 1 {
+			return p.start(now, e, append(p.s.single[:0], w))
+		}
+		p.block(now, e, now+searchRetry)
 		return nil
 	}
 	var workers []*worker
@@ -151,6 +159,9 @@
 	if e.blockedSince < 0 {
 		e.blockedSince = now
 	}
+	if retryAt <= now {
+		retryAt = 0
+	}
 	if at := p.keptRetry(now, e); at > 0 && (retryAt == 0 || at < retryAt) {
 		retryAt = at
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -31,15 +31,16 @@
 	shares       map[string]int64
 	quotas       map[string]api.Resources
 
-	kinds      kindTable
-	holds      []*hold
-	held       int           // workers of all holds
-	kept       []*worker     // closed to small work, by time
-	passedByAt time.Duration // when large work was last blocked; 0 if never
-	largest    vector        // elementwise largest worker announced
-	holdNext   time.Duration // no new hold before
-	headroom   []*worker
-	trials     []*worker // on probation
+	kinds         kindTable
+	holds         []*hold
+	held          int // workers of all holds
+	lendingPaused bool
+	kept          []*worker     // closed to small work, by time
+	passedByAt    time.Duration // when large work was last blocked; 0 if never
+	largest       vector        // elementwise largest worker announced
+	holdNext      time.Duration // no new hold before
+	headroom      []*worker
+	trials        []*worker // on probation
 
 	freed   freedRoom
 	isAwake bool          // some lane may be ready
