placement: tests of shares, health, admission and single rules

Batch work did not pack in a nearly empty pool, since the weight of a dimension was its use; a least weight now makes it (TestBatchPacks). go test -race -count=1 ./placement passes.

--- /dev/null
+++ b/placement/rules_test.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// Guards against work that can never run being queued, and work that can being refused.
+func TestAdmit(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		change  func(*Item)
+		verdict Verdict
+		reason  string
+	}{
+		{"fits", func(*Item) {}, Admitted, ""},
+		{"too much memory", func(i *Item) { i.Resources.MemoryMB = 16001 }, NeverFits, "memory_mb: .*"},
+		{"no accelerators", func(i *Item) { i.Resources.Accelerators = 1 }, NeverFits, "accelerators: .*"},
+		{"too many connections", func(i *Item) { i.Connections = 65 }, NeverFits, "connections: .*"},
+		{"not together", func(i *Item) { i.Resources = api.Resources{MilliCPU: 8000, MemoryMB: 1000} }, Admitted, ""},
+		{"gang at the limit", func(i *Item) { i.Tasks = 32 }, Admitted, ""},
+		{"gang too wide", func(i *Item) { i.Tasks = 33 }, NeverFits, "tasks: .*"},
+		{"unknown pool waits", func(i *Item) { i.Pool = "new"; i.Resources.Accelerators = 9 }, Admitted, ""},
+		{"over the quota alone", func(i *Item) { i.Team, i.Tasks = "small", 5 }, QuotaExceeded, "milli_cpu: .*"},
+		{"deadline passed", func(i *Item) { i.Deadline = time.Nanosecond }, Overloaded, ".*wait.*"},
+		{"maximal sizes", func(i *Item) { i.Resources.MilliCPU, i.Tasks = 1<<62, 1<<30 }, NeverFits, "milli_cpu: .*"},
+	} {
+		m := newSim(4)
+		m.s.SetPools([]api.Pool{{Name: "p", Quotas: map[string]api.Resources{"small": {MilliCPU: 4000}}}})
+		m.s.RemoveWorker(0, "w00") // a worker announced before still counts
+		item := Item{Pool: "p", Team: "t", Tasks: 1, Resources: api.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+		test.change(&item)
+		a := m.s.Admit(time.Second, item)
+		qt.Check(t, a.Verdict, qt.Equals, test.verdict, qt.Commentf("%s: %s", test.name, a.Reason))
+		qt.Check(t, a.Reason, qt.Matches, test.reason, qt.Commentf(test.name))
+	}
+}
+
+// Guards against a queue without bound, a refusal that does not say when to try again,
+// and a full queue of one team that refuses another's work.
+func TestAdmitComparesWaitWithDeadline(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(2)
+	m.steps(5*time.Second, func() { m.backlog("t0", api.ClassNormal, 100, time.Second) })
+	// 16 slots and one second each: 100 items take about 6 s.
+	item := Item{Pool: "p", Team: "t0", Class: api.ClassNormal, Tasks: 1, Kind: "k", Resources: api.Resources{MilliCPU: 1000}}
+	item.Deadline = m.now + time.Second
+	a := m.s.Admit(m.now, item)
+	c.Assert(a.Verdict, qt.Equals, Overloaded)
+	c.Assert(a.RetryAfter >= time.Second && a.RetryAfter < time.Minute, qt.IsTrue, qt.Commentf("%v", a.RetryAfter))
+	item.Deadline = m.now + time.Minute
+	c.Assert(m.s.Admit(m.now, item).Verdict, qt.Equals, Admitted)
+	item.Team, item.Deadline = "t1", m.now+time.Second
+	c.Assert(m.s.Admit(m.now, item).Verdict, qt.Equals, Admitted)
+}
+
+// Guards against new work on a worker whose found tasks already exceed it.
+func TestReserveOverCapacityStopsPlacement(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(0)
+	for n := range 3 {
+		key := api.RequestKey{Key: fmt.Sprint("found", n)}
+		m.s.Reserve(0, Item{Key: key, Pool: "p", Resources: api.Resources{MilliCPU: 4000}}, 0, "w00")
+	}
+	m.s.UpsertWorker(0, testWorker(0))
+	key := m.add("t0", api.ClassNormal, time.Second, nil)
+	m.step()
+	c.Assert(m.workers[key], qt.IsNil)
+	c.Assert(m.s.Stats(), qt.Equals, Stats{Queued: 1, Running: 3, Workers: 1})
+	m.s.Release(m.now, api.RequestKey{Key: "found0"}, 0)
+	m.step()
+	c.Assert(m.workers[key], qt.IsNil) // 8 of 8 cores are still taken
+	m.s.Release(m.now, api.RequestKey{Key: "found1"}, 0)
+	m.step()
+	c.Assert(m.workers[key], qt.DeepEquals, []string{"w00"})
+}
+
+// Guards against a second start of a request whose earlier attempt still runs.
+func TestAcceptedAgainWaitsForRelease(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(2)
+	key := m.add("t0", api.ClassNormal, time.Hour, nil)
+	m.step()
+	m.s.Enqueue(m.now, m.items[key])
+	c.Assert(m.s.Decide(m.now, 10).Placements, qt.HasLen, 0)
+	c.Assert(m.s.Stats(), qt.Equals, Stats{Queued: 1, Running: 1, Workers: 2})
+	m.s.Release(m.now, key, 0)
+	c.Assert(m.s.Decide(m.now, 10).Placements, qt.HasLen, 1)
+}
+
+// Guards against the services of one kind sharing a failure domain or rack while
+// others are free.
+func TestServicesSpread(t *testing.T) {
+	m := newSim(12)
+	domains := map[string]bool{}
+	for range 3 {
+		key := m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Workload = api.WorkloadService })
+		m.step()
+		domains[m.s.workers[m.workers[key][0]].FailureDomain] = true
+	}
+	qt.Assert(t, domains, qt.HasLen, 3)
+}
+
+// Guards against batch work that opens a new worker while a used one has room.
+func TestBatchPacks(t *testing.T) {
+	m := newSim(12)
+	used := map[string]bool{}
+	for range 8 {
+		key := m.add("t0", api.ClassNormal, time.Hour, nil)
+		m.step()
+		used[m.workers[key][0]] = true
+	}
+	qt.Assert(t, used, qt.HasLen, 1)
+}
+
+// Guards against work that crosses regions while its own has room, and work that
+// waits in a full region while another is free.
+func TestCallersRegionFirst(t *testing.T) {
+	m := newSim(1)
+	far := testWorker(1)
+	far.Region = "r1"
+	m.s.UpsertWorker(0, far)
+	var places []string
+	for range 9 {
+		key := m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Region = "r0" })
+		m.steps(4*simStep, nil)
+		places = append(places, m.workers[key]...)
+	}
+	qt.Assert(t, places, qt.DeepEquals, []string{"w00", "w00", "w00", "w00", "w00", "w00", "w00", "w00", "w01"})
+}
+
+// Guards against a cancel that leaves a hole, reorders the rest or loses an item.
+func TestCancelKeepsOrder(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(0)
+	var keys, want []api.RequestKey
+	for range 9 {
+		keys = append(keys, m.add("t0", api.ClassNormal, time.Second, nil))
+	}
+	for i, key := range keys {
+		if i%3 == 0 {
+			c.Assert(m.s.Cancel(key), qt.IsTrue)
+		} else {
+			want = append(want, key)
+			c.Assert(m.s.Explain(0, key).Position, qt.Equals, len(want))
+		}
+	}
+	m.s.UpsertWorker(0, testWorker(0))
+	var got []api.RequestKey
+	for _, p := range m.s.Decide(0, 10).Placements {
+		got = append(got, p.Key)
+	}
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+// Guards against a decision that never ends when the retry time of a waiting item has
+// passed while its team is at its quota.
+func TestRetryAtQuotaEnds(t *testing.T) {
+	m := newSim(1)
+	m.s.SetPools([]api.Pool{{Name: "p", Quotas: map[string]api.Resources{"t0": {MilliCPU: 8000}}}})
+	m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Resources.MilliCPU = 8000 })
+	m.step()
+	key := m.add("t0", api.ClassNormal, time.Second, nil)
+	e := m.s.entries[key]
+	e.lane.blocked, e.lane.retryAt = true, m.now
+	m.steps(time.Second, nil)
+	qt.Assert(t, m.s.Explain(m.now, key).WaitsFor, qt.Matches, "the team's quota of milli_cpu")
+}
+
+// Guards against a learned run time that overrides the declared one without bound.
+func TestLearnedRunTimeIsBounded(t *testing.T) {
+	m := newSim(1)
+	for range 50 {
+		m.s.ReportOutcome(0, "w00", "k", OutcomeSuccess, time.Hour)
+	}
+	kinds := &m.s.poolOf("p").kinds
+	qt.Assert(t, kinds.runTime(&Item{Kind: "k", RunTime: time.Second}), qt.Equals, 10*time.Second)
+	qt.Assert(t, kinds.runTime(&Item{Kind: "k"}), qt.Equals, time.Hour)
+}
+
+// Guards against a reported use that the account does not protect, or that takes more
+// than the worker holds.
+func TestReportedUseIsProtected(t *testing.T) {
+	m := newSim(1)
+	key := m.add("t0", api.ClassNormal, time.Hour, nil)
+	m.step()
+	m.s.ReportUsage(m.now, key, api.Resources{MilliCPU: 1 << 50, MemoryMB: -5})
+	qt.Assert(t, m.s.workers["w00"].reserved, qt.Equals, vector{8000, 1000, 0, 1, 1})
+	m.s.ReportUsage(m.now, key, api.Resources{})
+	qt.Assert(t, m.s.workers["w00"].reserved, qt.Equals, vector{8000, 1000, 0, 1, 1})
+}
--- a/placement/score.go
+++ b/placement/score.go
@@ -24,6 +24,8 @@
 	failingPenalty = 4.0
 	// strandPenalty weighs how uneven the fractions left in the dimensions are.
 	strandPenalty = 0.5
+	// minWeight makes work pack tightly also in a pool that is nearly empty.
+	minWeight = 0.1
 )
 
 // candidates collects at most Config.Candidates workers of x with room for demand.
@@ -87,7 +89,7 @@
 	for d := range sc.weights {
 		if p.capacity[d] > 0 && e.demand[d] > 0 {
 			used := float64(p.reserved[d]) / float64(p.capacity[d])
-			sc.weights[d] = used * used * used
+			sc.weights[d] = minWeight + used*used*used
 		}
 	}
 	if e.item.Workload == api.WorkloadService {
--- /dev/null
+++ b/placement/share_test.go
@@ -0,0 +1,116 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// backlog keeps n items of a team and class queued.
+func (m *sim) backlog(team string, class api.Class, n int, run time.Duration) {
+	for q := m.s.poolOf("p").teamOf(team).classOf(class); q.queued < n; {
+		m.add(team, class, run, nil)
+	}
+}
+
+// Guards against a flood of any class that takes share from other teams or from the
+// other classes of its own team.
+func TestFloodLeavesOthersTheirShare(t *testing.T) {
+	classes := []api.Class{api.ClassUrgent, api.ClassNormal, api.ClassLow}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSim(8)
+		weights := map[string]int64{}
+		for i := range 3 {
+			weights[fmt.Sprint("t", i)] = rapid.Int64Range(1, 4).Draw(t, "weight")
+		}
+		m.s.SetPools([]api.Pool{{Name: "p", Shares: weights}})
+		flood := rapid.SampledFrom(classes).Draw(t, "flood")
+		other := rapid.SampledFrom(classes).Draw(t, "other")
+		run := time.Duration(rapid.IntRange(5, 20).Draw(t, "run")) * simStep
+		used := map[string]float64{}
+		steps := 0.0
+		for m.now < 8*time.Second {
+			m.backlog("t0", flood, 200, run)
+			m.backlog("t0", api.ClassLow, 64, run)
+			m.backlog("t1", other, 64, run)
+			m.backlog("t2", other, 64, run)
+			m.step()
+			if m.now > 2*time.Second {
+				steps++
+				for name := range weights {
+					used[name] += m.s.poolOf("p").teamOf(name).share()
+				}
+				used["low"] += m.s.poolOf("p").teamOf("t0").classOf(api.ClassLow).share()
+			}
+		}
+		for _, name := range []string{"t1", "t2"} {
+			if owed := m.s.poolOf("p").teamOf(name).owed(); used[name]/steps < 0.95*owed {
+				t.Fatalf("%s got %.3f of the pool, owed %.3f", name, used[name]/steps, owed)
+			}
+		}
+		// The low class takes whole cores of a share that may not be whole: one task less.
+		if owed := m.s.poolOf("p").teamOf("t0").classOf(api.ClassLow).owed(); used["low"]/steps < 0.95*owed-1.0/64 {
+			t.Fatalf("low class of t0 got %.3f of the pool, owed %.3f", used["low"]/steps, owed)
+		}
+	})
+}
+
+// Guards against urgent work that waits behind the urgent flood of another team.
+func TestUrgentWorkStartsDuringUrgentFlood(t *testing.T) {
+	m := newSim(40)
+	var urgent []api.RequestKey
+	for m.now < time.Minute {
+		m.backlog("t0", api.ClassUrgent, 500, 20*time.Second)
+		if m.now > 5*time.Second && m.now%time.Second == 0 {
+			urgent = append(urgent, m.add("t1", api.ClassUrgent, 5*time.Second, nil))
+		}
+		m.step()
+	}
+	m.steps(5*time.Second, nil)
+	for _, key := range urgent {
+		wait, started := m.waits[key]
+		qt.Assert(t, started && wait <= 2200*time.Millisecond, qt.IsTrue, qt.Commentf("%v waited %v, started %v", key, wait, started))
+	}
+}
+
+// Guards against lent share that is not given back as tasks end.
+func TestLentShareComesBack(t *testing.T) {
+	m := newSim(10)
+	m.steps(10*time.Second, func() { m.backlog("t0", api.ClassLow, 200, 2*time.Second) })
+	t0, t1 := m.s.poolOf("p").teamOf("t0"), m.s.poolOf("p").teamOf("t1")
+	qt.Assert(t, t0.share() > 0.95, qt.IsTrue, qt.Commentf("unused share is not lent: %v", t0.share()))
+	// Every lent task has ended after one run time.
+	m.steps(2*time.Second+2*simStep, func() {
+		m.backlog("t0", api.ClassLow, 200, 2*time.Second)
+		m.backlog("t1", api.ClassLow, 200, 2*time.Second)
+	})
+	qt.Assert(t, t1.share() >= 0.95*t1.owed(), qt.IsTrue, qt.Commentf("t1 uses %v of the pool", t1.share()))
+}
+
+// Guards against large work that never starts because small work takes every hole, also
+// when the small work runs ten times longer than declared.
+func TestLargeWorkStartsAmongSmall(t *testing.T) {
+	for _, wrong := range []time.Duration{1, 10} {
+		m := newSim(10)
+		small := func() {
+			for m.s.queued < 100 {
+				m.add(fmt.Sprint("t", m.next%3), api.ClassNormal, time.Duration(1+m.next%40)*simStep*wrong, func(i *Item) { i.RunTime /= wrong })
+			}
+		}
+		m.steps(5*time.Second, small)
+		whole := m.add("t3", api.ClassNormal, time.Second, func(i *Item) { i.Resources.MilliCPU = 8000 })
+		gang := m.add("t4", api.ClassLow, time.Second, func(i *Item) {
+			i.Workload, i.Tasks, i.Resources.MilliCPU = api.WorkloadGang, 8, 4000
+		})
+		m.steps(3*time.Minute, small)
+		for _, key := range []api.RequestKey{whole, gang} {
+			_, started := m.waits[key]
+			qt.Assert(t, started, qt.IsTrue, qt.Commentf("%v never started, declared run times wrong %d times", key, wrong))
+		}
+	}
+}
--- /dev/null
+++ b/placement/sim_test.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// sim ends each started task after its true run time, on a clock that moves in steps.
+type sim struct {
+	s       *Scheduler
+	now     time.Duration
+	next    int
+	run     map[api.RequestKey]time.Duration // true run times
+	ends    map[time.Duration][]Placement
+	items   map[api.RequestKey]Item
+	waits   map[api.RequestKey]time.Duration
+	workers map[api.RequestKey][]string
+	failing map[string]bool
+}
+
+const simStep = 50 * time.Millisecond
+
+// newSim returns a sim with a pool of workers of 8 cores, 16 GB and 8 slots, four to a rack.
+func newSim(workers int) *sim {
+	m := &sim{
+		s: New(Config{Seed: 3, LocalRegion: "r0"}), run: map[api.RequestKey]time.Duration{}, ends: map[time.Duration][]Placement{},
+		items: map[api.RequestKey]Item{}, waits: map[api.RequestKey]time.Duration{}, workers: map[api.RequestKey][]string{}, failing: map[string]bool{},
+	}
+	for n := range workers {
+		m.s.UpsertWorker(0, testWorker(n))
+	}
+	return m
+}
+
+func testWorker(n int) Worker {
+	return Worker{
+		Name: fmt.Sprintf("w%02d", n), Pool: "p", Rack: fmt.Sprint("k", n/4), FailureDomain: fmt.Sprint("d", n%3), Region: "r0",
+		Slots: 8, Connections: 64, Capacity: api.Resources{MilliCPU: 8000, MemoryMB: 16000},
+	}
+}
+
+// add queues an item of one core unless the change says otherwise.
+func (m *sim) add(team string, class api.Class, run time.Duration, change func(*Item)) api.RequestKey {
+	m.next++
+	item := Item{
+		Key: api.RequestKey{Caller: "c", Key: fmt.Sprint(m.next)}, Pool: "p", Kind: "k", Team: team, Class: class, Workload: api.WorkloadBatch,
+		Tasks: 1, Resources: api.Resources{MilliCPU: 1000, MemoryMB: 1000}, RunTime: run, Accepted: m.now,
+	}
+	if change != nil {
+		change(&item)
+	}
+	m.items[item.Key], m.run[item.Key] = item, run
+	m.s.Enqueue(m.now, item)
+	return item.Key
+}
+
+// step ends what is due, decides and advances the clock.
+func (m *sim) step() {
+	for _, p := range m.ends[m.now] {
+		for task, name := range p.Workers {
+			o := OutcomeSuccess
+			if m.failing[name] {
+				o = OutcomeFailure
+			}
+			m.s.ReportOutcome(m.now, name, m.items[p.Key].Kind, o, m.run[p.Key])
+			m.s.Release(m.now, p.Key, task)
+		}
+	}
+	delete(m.ends, m.now)
+	for _, p := range m.s.Decide(m.now, 1000).Placements {
+		run := max(m.run[p.Key], simStep).Round(simStep)
+		m.ends[m.now+run] = append(m.ends[m.now+run], p)
+		m.waits[p.Key] = m.now - m.items[p.Key].Accepted
+		m.workers[p.Key] = p.Workers
+	}
+	m.now += simStep
+}
+
+// steps runs f before each step until the time is over.
+func (m *sim) steps(length time.Duration, f func()) {
+	for end := m.now + length; m.now < end; {
+		if f != nil {
+			f()
+		}
+		m.step()
+	}
+}
