placement: rule waiting items out on the freed workers before trying them

The largest free amounts of the freed workers let almost 2,000 of the heads through in a full fleet, and a hold looked at 512 workers.

--- a/placement/freed.go
+++ b/placement/freed.go
@@ -72,7 +72,27 @@
 	if l.generation == p.freed.generation || now < l.head.notBefore {
 		return false
 	}
-	return l.head.demand.fits(&p.freed.largest)
+	return p.freed.mayHold(l.head)
+}
+
+// mayHold reports whether some freed worker has room for a task of e and is not kept
+// for other work. The largest free amount rules most items out at little cost.
+func (f *freedRoom) mayHold(e *entry) bool {
+	if !e.demand.fits(&f.largest) {
+		return false
+	}
+	if f.overflow {
+		return true
+	}
+	for _, w := range f.workers {
+		if w.headroom && e.lane.class.index != classUrgent {
+			continue
+		}
+		if w.hasRoom(&e.demand) {
+			return true
+		}
+	}
+	return false
 }
 
 // isDue reports whether the time to try again has come.
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -22,7 +22,7 @@
 	holdInterval = 100 * time.Millisecond
 	// holdWorkers bounds the workers that are considered for a hold, unless the item
 	// has more tasks.
-	holdWorkers = 512
+	holdWorkers = 128
 	// holdFraction bounds the workers held at once to one in this many, unless a single
 	// item needs more.
 	holdFraction = 10
@@ -152,7 +152,7 @@
 func (p *pool) earliestFit(now time.Duration, e *entry) (time.Duration, []*worker) {
 	tasks := e.item.Tasks
 	var gains []gain
-	limit := min(len(p.workers), max(holdWorkers, 2*tasks))
+	limit := min(len(p.workers), max(holdWorkers, 4*tasks))
 	offset := p.s.random.IntN(len(p.workers) + 1)
 	for i := range limit {
 		w := p.workers[(offset+i)%len(p.workers)]
