--- a/placement/rules_test.go
+++ b/placement/rules_test.go
@@ -96,7 +96,7 @@
 // Guards against the services of one kind sharing a failure domain or rack while
 // others are free.
 func TestServicesSpread(t *testing.T) {
-	m := newSim(12)
+	m := newSim(24)
 	domains := map[string]bool{}
 	for range 3 {
 		key := m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Workload = api.WorkloadService })
@@ -134,6 +134,50 @@
 	qt.Assert(t, places, qt.DeepEquals, []string{"w00", "w00", "w00", "w00", "w00", "w00", "w00", "w00", "w01"})
 }
 
+// Guards against work that crosses regions for a wait shorter than the crossing, and
+// work that does not cross for a longer one.
+func TestCrossingWaitsForShortGaps(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(1)
+	far := testWorker(1)
+	far.Region = "r1"
+	m.s.UpsertWorker(0, far)
+	add := func(n int) {
+		for range n {
+			m.add("t0", api.ClassNormal, simStep, func(i *Item) { i.Region = "r0" })
+		}
+	}
+	m.steps(10*time.Second, func() { add(8) }) // 160 releases a second
+	add(12)
+	m.step()
+	c.Assert(m.s.workers["w00"].tasks, qt.HasLen, 8)
+	c.Assert(m.s.workers["w01"].tasks, qt.HasLen, 0)
+	m.s.SetPlaceable(m.now, "w00", false)
+	m.step()
+	c.Assert(m.s.workers["w01"].tasks, qt.HasLen, 4)
+}
+
+// Guards against small work that takes the room a large item leaves before the next
+// large item can.
+func TestRoomOfLargeWorkIsKept(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(1)
+	whole := func(i *Item) { i.Resources.MilliCPU = 8000 }
+	m.add("t0", api.ClassNormal, time.Second, whole)
+	m.step()
+	next := m.add("t1", api.ClassNormal, time.Second, whole)
+	m.step() // passed by
+	m.s.Cancel(next)
+	m.steps(800*time.Millisecond, nil)
+	small := m.add("t2", api.ClassNormal, time.Second, nil)
+	m.steps(500*time.Millisecond, nil)
+	c.Assert(m.s.workers["w00"].tasks, qt.HasLen, 0)
+	c.Assert(m.workers[small], qt.IsNil)
+	next = m.add("t1", api.ClassNormal, 10*time.Second, whole)
+	m.step()
+	c.Assert(m.workers[next], qt.HasLen, 1)
+}
+
 // Guards against a cancel that leaves a hole, reorders the rest or loses an item.
 func TestCancelKeepsOrder(t *testing.T) {
 	c := qt.New(t)
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -81,6 +81,7 @@
 // Guards against lent share that is not given back as tasks end.
 func TestLentShareComesBack(t *testing.T) {
 	m := newSim(10)
+	m.add("t1", api.ClassLow, time.Hour, nil) // t1 uses little of its half
 	m.steps(10*time.Second, func() { m.backlog("t0", api.ClassLow, 200, 2*time.Second) })
 	t0, t1 := m.s.poolOf("p").teamOf("t0"), m.s.poolOf("p").teamOf("t1")
 	qt.Assert(t, t0.share() > 0.95, qt.IsTrue, qt.Commentf("unused share is not lent: %v", t0.share()))
@@ -92,6 +93,38 @@
 	qt.Assert(t, t1.share() >= 0.95*t1.owed(), qt.IsTrue, qt.Commentf("t1 uses %v of the pool", t1.share()))
 }
 
+// Guards against a borrower that takes the room other work within its share waits for.
+func TestLendingPausesForWorkPassedBy(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(10)
+	for range 30 { // t2 uses some of its share, so that t0 borrows
+		m.add("t2", api.ClassNormal, time.Hour, nil)
+	}
+	flood := func() {
+		for m.s.queued < 200 {
+			m.add("t0", api.ClassNormal, time.Duration(20+m.next*7%100)*simStep, nil)
+		}
+	}
+	m.steps(5*time.Second, flood)
+	whole := m.add("t1", api.ClassNormal, time.Second, func(i *Item) { i.Resources.MilliCPU = 8000 })
+	m.steps(holdAfter+3*simStep, flood)
+	p := m.s.poolOf("p")
+	c.Assert(p.holds, qt.HasLen, 1)
+	for m.waits[whole] == 0 {
+		flood()
+		m.step()
+		for _, w := range p.workers {
+			for _, r := range w.tasks {
+				// A start within the share may reach it, at most by its one slot of 80.
+				t0 := p.teamOf("t0")
+				lent := r.started == m.now-simStep && r.job.class.team == t0 && t0.share() > t0.owed()+1.0/80
+				c.Assert(lent && w.hold == nil && len(p.holds) > 0, qt.IsFalse)
+			}
+		}
+		c.Assert(m.now < time.Minute, qt.IsTrue)
+	}
+}
+
 // Guards against large work that never starts because small work takes every hole, also
 // when the small work runs ten times longer than declared.
 func TestLargeWorkStartsAmongSmall(t *testing.T) {
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -36,7 +36,7 @@
 
 func testWorker(n int) Worker {
 	return Worker{
-		Name: fmt.Sprintf("w%02d", n), Pool: "p", Rack: fmt.Sprint("k", n/4), FailureDomain: fmt.Sprint("d", n%3), Region: "r0",
+		Name: fmt.Sprintf("w%02d", n), Pool: "p", Rack: fmt.Sprint("k", n/4), FailureDomain: fmt.Sprint("d", n/8%3), Region: "r0",
 		Slots: 8, Connections: 64, Capacity: api.Resources{MilliCPU: 8000, MemoryMB: 16000},
 	}
 }
