--- a/bench/drive.go
+++ b/bench/drive.go
@@ -176,6 +176,7 @@
 func (d *driver) end(now time.Duration, j *jobState) {
 	item := &j.arrival.Item
 	d.use.change(item, -1)
+	d.use.changeTrue(j, false)
 	d.timing.measure(func() {
 		for task, name := range j.workers {
 			outcome := placement.OutcomeSuccess
@@ -226,6 +227,7 @@
 		j.failing = j.failing || d.workload.Failing[name]
 	}
 	d.use.change(&j.arrival.Item, 1)
+	d.use.changeTrue(j, true)
 	run := j.arrival.RunTime
 	if j.failing {
 		run = failTime
--- a/bench/result.go
+++ b/bench/result.go
@@ -37,17 +37,23 @@
 	classUse  map[api.Class]float64
 	acc       [2]float64 // accelerators: capacity, running
 	accPacked float64
+	trueUse   map[string]api.Resources // by worker; only if sizes are declared wrongly
+	limits    map[string]api.Resources
+	over      map[string]bool // workers whose true use exceeds what they hold
+	overTime  float64         // worker-seconds
 }
 
 func newUseMeter(w *Workload) *useMeter {
 	m := &useMeter{
 		window: w.Window, team: map[string]float64{}, teamUse: map[string]float64{},
 		class: map[api.Class]float64{}, classUse: map[api.Class]float64{},
+		trueUse: map[string]api.Resources{}, limits: map[string]api.Resources{}, over: map[string]bool{},
 	}
 	for _, x := range w.Workers {
 		m.capacity[0] += float64(x.Capacity.MilliCPU)
 		m.capacity[1] += float64(x.Capacity.MemoryMB)
 		m.capacity[2] += float64(x.Slots)
+		m.limits[x.Name] = x.Capacity
 		m.acc[0] += float64(x.Capacity.Accelerators)
 	}
 	return m
@@ -64,6 +70,7 @@
 		m.packed[i] += m.running[i] * seconds
 	}
 	m.accPacked += m.acc[1] * seconds
+	m.overTime += float64(len(m.over)) * seconds
 	for t, f := range m.team {
 		m.teamUse[t] += f * seconds
 	}
@@ -88,6 +95,25 @@
 	}
 }
 
+// changeTrue adds or removes the true use of a job's tasks on their workers.
+func (m *useMeter) changeTrue(j *jobState, add bool) {
+	if j.arrival.Used == (api.Resources{}) {
+		return
+	}
+	for _, name := range j.workers {
+		use := m.trueUse[name].Sub(j.arrival.Used)
+		if add {
+			use = m.trueUse[name].Add(j.arrival.Used)
+		}
+		m.trueUse[name] = use
+		if use.Fits(m.limits[name]) {
+			delete(m.over, name)
+		} else {
+			m.over[name] = true
+		}
+	}
+}
+
 // scarcest returns the average packed part of the fullest dimension in the window.
 func (m *useMeter) scarcest() float64 {
 	seconds := (m.window[1] - m.window[0]).Seconds()
@@ -106,6 +132,7 @@
 	MedianWait, P99Wait time.Duration // of all admitted work except the flood
 	UrgentP99           time.Duration // of admitted urgent work except the flood team's
 	Packed              float64       // scarcest dimension in the window
+	Over                float64       // part of the worker time in which the true use exceeds the worker
 	Refused, Expired    int
 	RefusedOther        int // refused or expired without being part of the flood team's work
 	Failed              int // gave up after failing on failing workers
@@ -127,6 +154,7 @@
 // until it expired or the run ended.
 func (d *driver) result() *Result {
 	r := &Result{use: d.use, Packed: d.use.scarcest(), Placements: d.timing.placements}
+	r.Over = d.use.overTime / (d.use.window[1] - d.use.window[0]).Seconds() / float64(len(d.workload.Workers))
 	var waits, urgent []time.Duration
 	for _, j := range d.order {
 		item := &j.arrival.Item
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -68,8 +68,9 @@
 	random *rand.Rand
 	cores  int64 // of a worker
 	teams  int
-	gangs  float64 // part of the requests that are gangs
-	wrong  bool    // declared sizes and run times are wrong by up to ten times
+	gangs  float64            // part of the requests that are gangs
+	wrong  bool               // declared sizes and run times are wrong by up to ten times
+	byKind map[string]float64 // not nil if all sizes of a kind are wrong by one factor
 	next   int
 }
 
@@ -120,6 +121,12 @@
 	factor := func() float64 { return math.Pow(10, 2*g.random.Float64()-1) }
 	a.Item.RunTime = time.Duration(float64(a.RunTime) * factor())
 	f := factor()
+	if g.byKind != nil {
+		if g.byKind[a.Item.Kind] == 0 {
+			g.byKind[a.Item.Kind] = f
+		}
+		f = g.byKind[a.Item.Kind]
+	}
 	a.Used = api.Resources{
 		MilliCPU: min(int64(float64(a.Item.Resources.MilliCPU)*f), g.cores*1000),
 		MemoryMB: min(int64(float64(a.Item.Resources.MemoryMB)*f), g.cores*2048),
--- a/bench/workloads.go
+++ b/bench/workloads.go
@@ -22,7 +22,9 @@
 		dayWithPeaks(seed, "firm day 32/64 with peaks, 80% on average", 32),
 		dayWithPeaks(seed+1, "firm day 64/128 with peaks, 80% on average", 64),
 		flood(seed, "10x flood, low", api.ClassLow), flood(seed, "10x flood, urgent", api.ClassUrgent),
-		wrongSizes(seed), cancelWaves(seed), failingWorkers(seed), gangMix(seed), saturation(seed),
+		wrongSizes(seed, "sizes wrong up to 10x", nil),
+		wrongSizes(seed, "sizes of a kind wrong by one factor up to 10x", map[string]float64{}),
+		cancelWaves(seed), failingWorkers(seed), gangMix(seed), saturation(seed),
 		Large(seed, 10*time.Second), largeSaturated(seed, 10*time.Second),
 	}
 }
@@ -77,10 +79,10 @@
 	return w
 }
 
-func wrongSizes(seed uint64) Workload {
-	w := firm("sizes wrong up to 10x", 32)
+func wrongSizes(seed uint64, name string, byKind map[string]float64) Workload {
+	w := firm(name, 32)
 	g := newGenerator(seed+2, 32)
-	g.wrong = true
+	g.wrong, g.byKind = true, byKind
 	// The use is more than declared on average, so half the load fills the workers.
 	w.Arrivals = g.fill(firmSize, 0.5, 0, w.End, nil)
 	setDeadlines(w.Arrivals)
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -30,14 +30,14 @@
 }
 
 // kindStats is what is learned of one kind of work from the workers' reports. Learned
-// figures order work and estimate waits. No account depends on them, so when they are
-// wrong, waits are estimated wrongly and backfill delays a hold by at most its bounded
-// length, but no worker is given more than it holds.
+// run times estimate waits and the ends of tasks. No account depends on them, so when
+// they are wrong, waits are estimated wrongly and backfill delays a hold by at most its
+// bounded length, but no worker is given more than it holds. Sizes are not learned:
+// measured with sizes wrong by up to ten times, preferring workers with room for the
+// learned size did not lower overuse.
 type kindStats struct {
 	runTime  float64 // average of successful runs in nanoseconds
 	runs     int
-	use      [dimCount]float64 // average of used over declared
-	uses     int
 	places   map[place]int // running tasks, for services
 	succeeds int           // workers whose last report of the kind is a success
 	fails    int           // workers whose last report of the kind is a failure
@@ -98,30 +98,3 @@
 
 // weightOf averages the first reports evenly and then decays older ones.
 func weightOf(reports int) float64 { return max(learnWeight, 1/float64(reports)) }
-
-func (k *kindStats) learnUse(declared, used vector) {
-	k.uses++
-	for d := range declared {
-		if declared[d] <= 0 {
-			continue
-		}
-		ratio := float64(used[d]) / float64(declared[d])
-		ratio = min(max(ratio, 1.0/learnBound), learnBound)
-		k.use[d] += (ratio - k.use[d]) * weightOf(k.uses)
-	}
-}
-
-// likelyUse is what a task of demand is expected to use: at least the demand, at most
-// learnBound times it. It only orders candidates.
-func (t *kindTable) likelyUse(kind string, demand vector) vector {
-	k := t.kinds[kind]
-	if k == nil || k.uses < minReports {
-		return demand
-	}
-	for d := range demand {
-		if k.use[d] > 1 {
-			demand[d] = int64(float64(demand[d]) * k.use[d])
-		}
-	}
-	return demand
-}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -207,13 +207,12 @@
 
 // ReportUsage records what the tasks of a request were last seen to use, each. A
 // reservation grows to the highest use reported and never shrinks.
-func (s *Scheduler) ReportUsage(now time.Duration, key api.RequestKey, used api.Resources) {
+func (s *Scheduler) ReportUsage(_ time.Duration, key api.RequestKey, used api.Resources) {
 	j := s.jobs[key]
 	if j == nil {
 		return
 	}
 	amount := vectorOf(used, 0, 0)
-	j.class.team.pool.kinds.of(j.item.Kind).learnUse(j.demand, amount)
 	for _, r := range j.reservations {
 		if r != nil {
 			s.raiseUse(r, amount)
--- a/placement/score.go
+++ b/placement/score.go
@@ -15,10 +15,8 @@
 	// fleet with unlike free amounts could otherwise visit every leaf.
 	searchBudget = 2048
 
-	// acceleratorPenalty keeps work without accelerators off workers with free ones,
-	// and crowdPenalty keeps work off workers that it is likely to outgrow.
+	// acceleratorPenalty keeps work without accelerators off workers with free ones.
 	acceleratorPenalty = 2.0
-	crowdPenalty       = 1.0
 	// failingPenalty keeps work off a worker whose latest tasks failed while others have
 	// room, before it is known whether the worker is to blame.
 	failingPenalty = 4.0
@@ -77,14 +75,13 @@
 // scorer rates workers for one item; lower is better.
 type scorer struct {
 	demand   vector
-	likely   vector
 	weights  [dimCount]float64
 	places   map[place]int // not nil for a service
 	needsAcc bool
 }
 
 func (p *pool) scorer(e *entry) scorer {
-	sc := scorer{demand: e.demand, likely: p.kinds.likelyUse(e.item.Kind, e.demand)}
+	sc := scorer{demand: e.demand}
 	sc.needsAcc = e.demand[dimAccelerators] > 0
 	for d := range sc.weights {
 		if p.capacity[d] > 0 && e.demand[d] > 0 {
@@ -110,9 +107,6 @@
 	if !sc.needsAcc && free[dimAccelerators] > 0 {
 		score += acceleratorPenalty
 	}
-	if !sc.likely.fits(&free) {
-		score += crowdPenalty
-	}
 	return score + failingPenalty*w.health.failing
 }
 
