--- a/bench/cmd/main.go
+++ b/bench/cmd/main.go
@@ -29,12 +29,12 @@
 	fmt.Printf("\n%s (%d workers, %d requests, seed %d)\n", w.Name, len(w.Workers), len(w.Arrivals), seed)
 	table := tablewriter.NewWriter(os.Stdout)
 	table.SetAutoFormatHeaders(false)
-	table.SetHeader([]string{"policy", "median wait", "p99 wait", "urgent p99", "kept", "kept worst team", "packed", "overused", "refused", "expired", "of others", "failed", "decisions/s", "p99 decision"})
+	table.SetHeader([]string{"policy", "median wait", "p99 wait", "urgent p99", "kept", "worst team", "own classes", "packed", "overused", "refused", "expired", "of others", "failed", "decisions/s", "p99 decision"})
 	for _, row := range bench.Compare(seed, w) {
 		r := row.Result
 		table.Append([]string{
 			row.Policy, milliseconds(r.MedianWait), milliseconds(r.P99Wait), milliseconds(r.UrgentP99),
-			row.Kept, row.KeptWorst, fmt.Sprintf("%.1f%%", 100*r.Packed), fmt.Sprintf("%.1f%%", 100*r.Over), fmt.Sprint(r.Refused), fmt.Sprint(r.Expired),
+			kept(row.Kept, 0), kept(row.Kept, 1), kept(row.Kept, 2), fmt.Sprintf("%.1f%%", 100*r.Packed), fmt.Sprintf("%.1f%%", 100*r.Over), fmt.Sprint(r.Refused), fmt.Sprint(r.Expired),
 			fmt.Sprint(r.RefusedOther), fmt.Sprint(r.Failed), fmt.Sprintf("%.0f", r.DecisionsPerSecond), r.P99Decision.Round(time.Microsecond).String(),
 		})
 	}
@@ -42,3 +42,11 @@
 }
 
 func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
+// kept returns one figure of k as a percentage.
+func kept(k *bench.Kept, figure int) string {
+	if k == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*[...]float64{k.All, k.Worst, k.Own}[figure])
+}
--- a/bench/result.go
+++ b/bench/result.go
@@ -200,23 +200,41 @@
 	return list[min(len(list)-1, int(q*float64(len(list))))]
 }
 
-// Kept compares a run with a flood to the run of the same policy without it: the part
-// of the share owed to other teams' work that it still got, together and for the team
-// that lost most. A team is owed what it used without the flood, at most its share.
-func Kept(flood, calm *Result, teams int) (all, worst float64) {
-	seconds := (flood.use.window[1] - flood.use.window[0]).Seconds()
+// Kept is the part of the share owed to other work that it still got in a flood.
+type Kept struct {
+	All   float64 // of the other teams together
+	Worst float64 // of the team that lost most
+	Own   float64 // of the other classes of the flood's team
+}
+
+// classShares are the parts of a team's share that its classes are owed.
+var classShares = map[api.Class]float64{api.ClassUrgent: 0.6, api.ClassNormal: 0.3, api.ClassLow: 0.1}
+
+// KeptIn compares a run with a flood of one class to the run of the same policy without
+// it. Work is owed what it used without the flood, at most its share.
+func KeptIn(flood, calm *Result, class api.Class, teams int) Kept {
+	share := (flood.use.window[1] - flood.use.window[0]).Seconds() / float64(teams)
+	k := Kept{Worst: 1}
 	var got, owed float64
-	worst = 1
 	for team, use := range calm.use.teamUse {
 		if team == floodTeam {
 			continue
 		}
-		due := min(use, seconds/float64(teams))
+		due := min(use, share)
 		have := min(flood.use.teamUse[team], due)
 		got, owed = got+have, owed+due
 		if due > 0 {
-			worst = min(worst, have/due)
+			k.Worst = min(k.Worst, have/due)
+		}
+	}
+	k.All = got / owed
+	got, owed = 0, 0
+	for c, part := range classShares {
+		if c != class {
+			due := min(calm.use.classUse[c], part*share)
+			got, owed = got+min(flood.use.classUse[c], due), owed+due
 		}
 	}
-	return got / owed, worst
+	k.Own = got / owed
+	return k
 }
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -46,9 +46,14 @@
 	return w
 }
 
-// hasFlood reports whether the workload has a flood.
-func (w *Workload) hasFlood() bool {
-	return slices.ContainsFunc(w.Arrivals, func(a Arrival) bool { return a.Flood })
+// floodClass is the class of the flood, or empty if there is none.
+func (w *Workload) floodClass() api.Class {
+	for i := range w.Arrivals {
+		if w.Arrivals[i].Flood {
+			return w.Arrivals[i].Item.Class
+		}
+	}
+	return ""
 }
 
 func firmWorkers(n int, cores int64) []placement.Worker {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -21,7 +21,7 @@
 	p := e.lane.class.team.pool
 	fits := 0
 	for _, w := range p.workers {
-		limits := w.ruledOut(e)
+		limits := w.ruledOut(now, e)
 		for _, limit := range limits {
 			x.RuledOut[limit]++
 		}
@@ -45,7 +45,7 @@
 }
 
 // ruledOut lists the limits that keep a task of e off w now.
-func (w *worker) ruledOut(e *entry) []string {
+func (w *worker) ruledOut(now time.Duration, e *entry) []string {
 	var limits []string
 	if !w.placeable {
 		limits = append(limits, "not_placeable")
@@ -56,6 +56,9 @@
 	if w.hold != nil && w.hold.entry != e {
 		limits = append(limits, "held")
 	}
+	if w.kept && !w.pool.mayUseKept(now, e) {
+		limits = append(limits, "kept_for_large")
+	}
 	if w.headroom && !e.lane.class.isPrivileged() {
 		limits = append(limits, "headroom")
 	}
@@ -80,6 +83,9 @@
 	if e.lane.head != e || !e.lane.blocked {
 		return "its turn"
 	}
+	if p.lendingPaused && e.lane.class.team.isBorrowing() {
+		return "the team to be within its share"
+	}
 	if fits > 0 && e.item.Tasks > 1 {
 		return "room for all tasks at once"
 	}
--- a/placement/rules_test.go
+++ b/placement/rules_test.go
@@ -216,6 +216,23 @@
 	qt.Assert(t, m.s.Explain(m.now, key).WaitsFor, qt.Matches, "the team's quota of milli_cpu")
 }
 
+// Guards against an explanation that names the wrong limit.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	m := newSim(3)
+	m.s.SetPlaceable(0, "w00", false)
+	m.s.poolOf("p").condemn(0, m.s.workers["w01"])
+	first := m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Resources.MemoryMB = 16000 })
+	m.step()
+	c.Assert(m.s.Explain(m.now, first), qt.DeepEquals, Explanation{})
+	key := m.add("t0", api.ClassNormal, time.Hour, func(i *Item) { i.Resources.MemoryMB = 16000 })
+	m.step()
+	c.Assert(m.s.Explain(m.now, key), qt.DeepEquals, Explanation{
+		Found: true, Position: 1, WaitsFor: "memory_mb",
+		RuledOut: map[string]int{"not_placeable": 1, "probation": 1, "memory_mb": 1},
+	})
+}
+
 // Guards against a learned run time that overrides the declared one without bound.
 func TestLearnedRunTimeIsBounded(t *testing.T) {
 	m := newSim(1)
