partition: announce connections in the worker model

Cause: a trial of the property test with package placement's scheduler placed nothing, since the model's workers announced no connections. Change: the model announces 64 connections.

--- a/partition/worker_model_test.go
+++ b/partition/worker_model_test.go
@@ -106,7 +106,7 @@
 
 func (w *modelWorker) announcement() api.Announcement {
 	return api.Announcement{
-		Worker: w.name, Incarnation: w.incarnation, URL: w.name, Pool: "blue", Slots: 3,
+		Worker: w.name, Incarnation: w.incarnation, URL: w.name, Pool: "blue", Slots: 3, Connections: 64,
 		Capacity: api.Resources{MilliCPU: 2500}, Leaving: w.leaving,
 	}
 }
