server: propose a batch only in the term of its epoch

Cause: a batch made under one term could enter the log of the next one led by the same VM, whose earlier entries it was made without. Change: hosted.propose compares the term with the batch's epoch. Result: go test -race ./server ./partition passes.

--- a/server/hosted.go
+++ b/server/hosted.go
@@ -134,10 +134,20 @@
 	}
 }
 
+// propose adds a batch to the log, in the term of its epoch only: a later term may have
+// records that the batch was made without.
 func (h *hosted) propose(now time.Duration, a partition.Propose) {
-	if _, _, err := h.group.node.Propose(now, a.Data); err != nil {
-		h.s.loop.post(func() { h.step(h.s.loop.now(), partition.ProposeFailed{Sequence: a.Sequence}) })
+	if h.group.node.Status().Term == a.Epoch {
+		if _, _, err := h.group.node.Propose(now, a.Data); err == nil {
+			return
+		}
 	}
+	epoch := h.epoch
+	h.s.loop.post(func() {
+		if h.epoch == epoch {
+			h.step(h.s.loop.now(), partition.ProposeFailed{Sequence: a.Sequence})
+		}
+	})
 }
 
 func (h *hosted) reply(a partition.Reply) {
