server: one connection pool a worker, dropped as a whole on a failure

Cause: when a path loses track of its connections, the idle ones to the worker are silent as well, and each retry took another silent one (found by the integration test of silent connections). Change: each worker has its own HTTP client; a failed call closes its idle connections.

--- a/server/workercalls.go
+++ b/server/workercalls.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -30,27 +31,59 @@
 // base64-encoded, for a full set of slots.
 const maxWorkerResponse = 16 * api.MaxBodyBytes
 
-// workerCalls makes the HTTP calls to workers and returns the answers as events.
+// maxWorkerClients bounds the clients that are kept, above the 6,600 workers of the
+// largest fleet so that restarts with new addresses do not evict live ones.
+const maxWorkerClients = 16384
+
+// workerCalls makes the HTTP calls to workers and returns the answers as events. It is
+// safe for concurrent use.
 type workerCalls struct {
-	loop   *loop
-	client *http.Client
-	bytes  *byteCounter
+	loop    *loop
+	clients *lru.Cache[string, *http.Client] // by the worker's base URL
+	bytes   *byteCounter
 }
 
 func newWorkerCalls(l *loop) *workerCalls {
-	counter := &byteCounter{}
-	transport := &http.Transport{
-		DialContext:         countDial(counter, (&net.Dialer{Timeout: callTimeout}).DialContext),
+	clients, err := lru.NewWithEvict(maxWorkerClients, func(_ string, c *http.Client) { c.CloseIdleConnections() })
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &workerCalls{loop: l, clients: clients, bytes: &byteCounter{}}
+}
+
+// client returns the client of one worker. Each worker has its own connection pool, so
+// that a failure can drop all idle connections to it and to nobody else.
+func (w *workerCalls) client(base string) *http.Client {
+	if c, ok := w.clients.Get(base); ok {
+		return c
+	}
+	c := &http.Client{Transport: &http.Transport{
+		DialContext:         countDial(w.bytes, (&net.Dialer{Timeout: callTimeout}).DialContext),
 		MaxConnsPerHost:     connectionsPerWorker,
 		MaxIdleConnsPerHost: connectionsPerWorker,
 		IdleConnTimeout:     30 * time.Second,
+	}}
+	if present, ok, _ := w.clients.PeekOrAdd(base, c); ok {
+		return present
 	}
-	return &workerCalls{loop: l, client: &http.Client{Transport: transport}, bytes: counter}
+	return c
 }
 
 // post sends v as JSON and decodes the answer into out. An error means that the worker
 // may or may not have received the call.
-func (w *workerCalls) post(url string, timeout time.Duration, v, out any) error {
+//
+// Whatever silenced one connection has probably silenced the idle ones too, so a failure
+// drops them all and the next call opens a new one.
+func (w *workerCalls) post(base, path string, timeout time.Duration, v, out any) error {
+	client := w.client(base)
+	err := post(client, base+path, timeout, v, out)
+	if err != nil {
+		client.CloseIdleConnections()
+	}
+	return err
+}
+
+func post(client *http.Client, url string, timeout time.Duration, v, out any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return errors.WithStack(err)
@@ -65,7 +98,7 @@
 	// closed; a dispatch must never be sent again by the transport.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := w.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -94,7 +127,7 @@
 	epoch := h.epoch
 	go func() {
 		var resp api.SyncResponse
-		if err := w.post(a.URL+"/v1/sync", syncTimeout, a.Request, &resp); err != nil {
+		if err := w.post(a.URL, "/v1/sync", syncTimeout, a.Request, &resp); err != nil {
 			w.answer(h, epoch, partition.SyncFailed{Worker: a.Worker, Sequence: a.Sequence})
 			return
 		}
@@ -106,7 +139,7 @@
 	epoch := h.epoch
 	go func() {
 		var resp api.DispatchResponse
-		err := w.post(a.URL+"/v1/tasks", callTimeout, a.Dispatch, &resp)
+		err := w.post(a.URL, "/v1/tasks", callTimeout, a.Dispatch, &resp)
 		ev := partition.DispatchAnswered{Worker: a.Worker, Task: a.Dispatch.Task}
 		if err == nil {
 			ev.Response = &resp
@@ -119,7 +152,7 @@
 	epoch := h.epoch
 	go func() {
 		var resp api.DispatchResponse
-		err := w.post(url+path, callTimeout, c, &resp)
+		err := w.post(url, path, callTimeout, c, &resp)
 		ev := partition.CommandAnswered{Worker: worker, Task: c.Task, Revoke: revoke}
 		if err == nil {
 			ev.Response = &resp
