server: an unknown key is not found by explain; workers sorted by name

Cause: explain answered 200 with an empty state for a key without a record. Change: CodeNotFound; sorted list. Result: oleanderchute explain exits with 1 and says which partition has no such request.

--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -148,6 +148,7 @@
 		workers, _ := s.workersOf(r.Context(), name)
 		out = append(out, workers...)
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
 	writeJSON(w, http.StatusOK, out)
 }
 
@@ -190,6 +191,10 @@
 		s.refuse(w, api.Errorf(api.CodeUnavailable, "partition %s has no owner at the moment", home))
 		return
 	}
+	if reply.Explanation.State == "" {
+		s.refuse(w, api.Errorf(api.CodeNotFound, "partition %s has no request %s", home, args.Key))
+		return
+	}
 	writeJSON(w, http.StatusOK, reply.Explanation)
 }
 
