--- a/placement/freed.go
+++ b/placement/freed.go
@@ -85,7 +85,7 @@
 		return true
 	}
 	for _, w := range f.workers {
-		if w.headroom && e.lane.class.index != classUrgent && now-e.queuedAt < keptAfter {
+		if w.headroom && !w.pool.mayUseHeadroom(now, e) {
 			continue
 		}
 		if w.hasRoom(&e.demand) {
