server: a new connection pool to a worker after a failed call; capacity shows the stand-ins' share

Cause: calls in flight on silent connections would return them to the pool. Change: the worker's client is replaced after a failure.

--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -25,7 +25,10 @@
 // workers are, and the mean of the others.
 type sample struct {
 	owner, other vmUse
-	note         string
+	// standins is the processor time of this process, in percent of a core: the stand-in
+	// workers and, in series with requests, the caller.
+	standins float64
+	note     string
 }
 
 // vmUse is the use of one VM per second.
@@ -47,6 +50,10 @@
 	if err != nil {
 		return sample{}, err
 	}
+	self, err := processUse(os.Getpid())
+	if err != nil {
+		return sample{}, err
+	}
 	start := time.Now()
 	if err := work(); err != nil {
 		return sample{}, err
@@ -56,7 +63,11 @@
 	if err != nil {
 		return sample{}, err
 	}
-	var s sample
+	selfAfter, err := processUse(os.Getpid())
+	if err != nil {
+		return sample{}, err
+	}
+	s := sample{standins: 100 * (selfAfter.cpu - self.cpu).Seconds() / took}
 	for i := range after {
 		use := difference(before[i], after[i], took)
 		if i == owner {
@@ -191,9 +202,7 @@
 	printRow(w, "per "+t.unit, "other", t.slopes(func(s sample) vmUse { return s.other }))
 	w.Flush()
 	for i, s := range t.samples {
-		if s.note != "" {
-			fmt.Printf("  %d: %s\n", t.sizes[i], s.note)
-		}
+		fmt.Printf("  %d: stand-ins and caller used %.1f%% of a core %s\n", t.sizes[i], s.standins, s.note)
 	}
 }
 
--- a/server/workercalls.go
+++ b/server/workercalls.go
@@ -72,13 +72,13 @@
 // post sends v as JSON and decodes the answer into out. An error means that the worker
 // may or may not have received the call.
 //
-// Whatever silenced one connection has probably silenced the idle ones too, so a failure
-// drops them all and the next call opens a new one.
+// Whatever silenced one connection has probably silenced the idle ones too, so after a
+// failure the next call starts with an empty pool. Calls in flight end by their deadline.
 func (w *workerCalls) post(base, path string, timeout time.Duration, v, out any) error {
 	client := w.client(base)
 	err := post(client, base+path, timeout, v, out)
 	if err != nil {
-		client.CloseIdleConnections()
+		w.clients.Remove(base) // closes the idle connections
 	}
 	return err
 }
