raft: a restarted node asks learners too

Of two voters and a learner, the leader promoted the learner and committed with it alone; the leader's restored disk did not know of the promotion, and the other voter knew nothing of it either.

Change: the hello goes to all members, learners included, and recovery waits for them up to an election timeout. Only voters count toward the quorum.

--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -8,7 +8,7 @@
 // was acknowledged. Every node remembers, in memory only, the newest such state it has
 // seen of each member (MemberFact); the leader passes on what it knows of the voters
 // once per election timeout. A restarted node asks all peers (hello) and takes part
-// when a quorum, itself included, has answered and either all voters have answered or
+// when a quorum, itself included, has answered and either all members have answered or
 // an election timeout has passed. A later answer that shows a loss still counts. As its
 // own membership may be out of date, the answers carry that of the peers.
 //
@@ -36,12 +36,13 @@
 	n.finishRecovery()
 }
 
-// peers returns the other voters of all memberships that the disk or an answer shows,
-// sorted so that the order of messages is repeatable.
+// peers returns the other members of all memberships that the disk or an answer shows,
+// sorted so that the order of messages is repeatable. A learner's answer counts for no
+// quorum, but it may have been promoted since and be the only one that knows of a loss.
 func (n *Node) peers() []NodeID {
 	var ids []NodeID
 	for _, ms := range n.reported {
-		ids = append(ids, ms.Voters...)
+		ids = append(append(ids, ms.Voters...), ms.Learners...)
 	}
 	slices.Sort(ids)
 	return slices.DeleteFunc(slices.Compact(ids), func(id NodeID) bool { return id == n.cfg.ID })
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -180,6 +180,19 @@
 	quicktest.Assert(t, step(n, n.now, appended), quicktest.HasLen, 1)
 }
 
+// A learner that was promoted after the old copy may be the only one that knows of a
+// loss, but as a learner it counts for no quorum.
+func TestLearnerIsAskedButDoesNotCount(t *testing.T) {
+	rec := restartedDisk()
+	rec.Entries[0].Data = Membership{Voters: []NodeID{"v1", "v2", "v3"}, Learners: []NodeID{"l1"}}.encode()
+	n := New(Config{ID: "v1", Group: "g"}, rec, 10*time.Second)
+	quicktest.Assert(t, flush(n), quicktest.HasLen, 3)
+	step(n, n.now+600*ms, Message{Kind: MsgHelloResponse, From: "l1", Hint: 5})
+	quicktest.Assert(t, n.role, quicktest.Equals, RoleRecovering)
+	step(n, n.now, Message{Kind: MsgHelloResponse, From: "l1", Hint: 5, Facts: []MemberFact{{ID: "v1", Term: 1, Index: 4}}})
+	quicktest.Assert(t, n.role, quicktest.Equals, RoleForgot)
+}
+
 // An entry or vote that counts before it is synced is lost in a crash.
 func TestCountsOnlyWhatIsPersisted(t *testing.T) {
 	n := newLeader()
