--- a/server/problems.go
+++ b/server/problems.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/expirable"
 	"go.uber.org/zap"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -16,17 +17,39 @@
 	mu  sync.Mutex
 	log *control.ProblemLog // guarded by mu
 	out *zap.Logger
+	// logged holds what was logged within logInterval.
+	logged *expirable.LRU[string, struct{}]
 }
 
+// A worker with a wrong name announces every second and a caller may send thousands of
+// requests, so a problem is logged once in logInterval.
+const (
+	logInterval = time.Minute
+	maxLogged   = 4096
+)
+
 func newProblemKeeper(out *zap.Logger) *problemKeeper {
-	return &problemKeeper{log: control.NewProblemLog(0), out: out}
+	return &problemKeeper{
+		log: control.NewProblemLog(0), out: out,
+		logged: expirable.NewLRU[string, struct{}](maxLogged, nil, logInterval),
+	}
+}
+
+// warn logs a problem unless it was logged a short time ago.
+func (p *problemKeeper) warn(message, name, source string, fields ...zap.Field) {
+	id := message + "\x00" + name + "\x00" + source
+	if p.logged.Contains(id) {
+		return
+	}
+	p.logged.Add(id, struct{}{})
+	p.out.Warn(message, fields...)
 }
 
 func unixMillis() int64 { return time.Now().UnixMilli() }
 
 // unknownKind notes a kind without a route.
 func (p *problemKeeper) unknownKind(kind, caller string, r *control.Resolver) {
-	p.out.Warn("no route serves the kind", zap.String("kind", kind), zap.String("caller", caller), zap.String("nearest", r.NearestRoute(kind)))
+	p.warn("no route serves the kind", kind, caller, zap.String("kind", kind), zap.String("caller", caller), zap.String("nearest", r.NearestRoute(kind)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.UnknownKind(unixMillis(), kind, caller, r)
@@ -34,7 +57,7 @@
 
 // unknownPool notes a worker that announces a pool that does not exist.
 func (p *problemKeeper) unknownPool(worker, pool string, r *control.Resolver) {
-	p.out.Warn("worker announces an unknown pool", zap.String("worker", worker), zap.String("pool", pool), zap.String("nearest", r.NearestPool(pool)))
+	p.warn("worker announces an unknown pool", pool, worker, zap.String("worker", worker), zap.String("pool", pool), zap.String("nearest", r.NearestPool(pool)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.UnknownPool(unixMillis(), worker, pool, r)
