slo, server: record service-level samples, report budgets and burn rates

Cause: nothing told operators how much of their objectives' error budget is used. The daemon samples answers to callers and the age of applied tables, keeps the data in slo.cbor across restarts, and serves GET /v1/slo merged over all VMs.

--- /dev/null
+++ b/client/slo.go
@@ -0,0 +1,12 @@
+package client
+
+import (
+	"context"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// SLO returns the service-level burn report of all VMs that answer.
+func (c *Client) SLO(ctx context.Context) (api.SLOReport, error) {
+	return get[api.SLOReport](ctx, c, "/v1/slo")
+}
--- a/server/http.go
+++ b/server/http.go
@@ -50,6 +50,7 @@
 		"GET /v1/workers":                    s.handleWorkers,
 		"GET /v1/explain":                    s.handleExplain,
 		"POST /v1/drain":                     s.handleDrain,
+		"GET /v1/slo":                        s.handleSLO,
 	}
 	for pattern, h := range handlers {
 		mux.Handle(pattern, s.measure(pattern, h))
--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -39,7 +39,7 @@
 	}
 	wait := time.Duration(req.WaitMillis) * time.Millisecond
 	reply := s.submit(r.Context(), pool.Home, SubmitArgs{Partition: pool.Home, Request: req, Route: route, Region: s.settings.Region}, wait)
-	s.answer(w, reply)
+	s.answer(w, s.sloSubmitted(req, reply))
 }
 
 // submit forwards the request and then waits for an outcome until wait is over.
@@ -129,7 +129,7 @@
 	end := time.Now().Add(wait)
 	args := KeyArgs{Partition: home, Key: key, Wait: min(wait, maxRPCWait)}
 	reply := s.forward(r.Context(), home, method, func() any { return args }, args.Wait)
-	s.answer(w, s.awaitOutcome(r.Context(), home, key, reply, end))
+	s.answer(w, s.sloQueried(key, r.URL.Query().Get("kind"), s.awaitOutcome(r.Context(), home, key, reply, end)))
 }
 
 // homeOf returns the home partition of a kind. It needs no configuration lease: a
--- a/server/server.go
+++ b/server/server.go
@@ -33,6 +33,7 @@
 	hints    *leaderHints
 	problems *problemKeeper
 	metrics  *metrics
+	slo      *sloKeeper
 
 	view        atomic.Pointer[view]
 	confirmedAt atomic.Int64 // time.Duration since the loop's origin
@@ -68,6 +69,7 @@
 		HasDisk: settings.DataDir != "", PeerAddress: settings.PeerAddress, HTTPAddress: settings.HTTPAddress,
 	}
 	s.metrics = newMetrics(s)
+	s.slo = newSLOKeeper(settings, log)
 	s.view.Store(s.buildView(control.New()))
 	s.peers = newPeerSet(s)
 	return s, nil
@@ -101,6 +103,7 @@
 	g.Go(func() error { s.loop.run(work, s.step); return nil })
 	g.Go(func() error { return s.start(work) })
 	g.Go(func() error { s.watchProblems(work); return nil })
+	g.Go(func() error { s.slo.run(work); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -297,6 +300,7 @@
 	for _, h := range s.partitions {
 		h.step(now, partition.TablesChanged{Tables: tables})
 	}
+	s.slo.tablesApplied(s.control.state.History())
 	s.problems.setTables(s.control.state.Check(tables, nil), s.control.state.Resolver())
 }
 
--- a/server/settings.go
+++ b/server/settings.go
@@ -25,12 +25,13 @@
 	MaxConnections int           `name:"max-connections" default:"4096" env:"OLEANDER_MAX_CONNECTIONS" help:"Open connections per listener."`
 	MaxWaiters     int           `name:"max-waiters" default:"20000" env:"OLEANDER_MAX_WAITERS" help:"Calls that may wait for an outcome at once."`
 	DrainTimeout   time.Duration `name:"drain-timeout" default:"30s" env:"OLEANDER_DRAIN_TIMEOUT" help:"How long a graceful shutdown waits for calls in flight."`
+	SLO            []string      `name:"slo" sep:"," default:"wait:*:urgent:2.2s:99.9,answer:*:*:99.9,share:*:99,spread:13s:99.9" env:"OLEANDER_SLO" help:"Service-level objectives: wait:KIND:CLASS:DURATION:PERCENT, answer:KIND:CLASS:PERCENT, share:TEAM:PERCENT or spread:DURATION:PERCENT; * stands for any. Give all VMs the same."`
 }
 
 // Validate checks every setting and returns an error that names the setting and what
 // to type instead.
 func (s *Settings) Validate() error {
-	checks := []func(*Settings) error{checkNames, checkAddresses, checkPeers, checkLimits}
+	checks := []func(*Settings) error{checkNames, checkAddresses, checkPeers, checkLimits, checkSLO}
 	for _, check := range checks {
 		if err := check(s); err != nil {
 			return err
