cmd, docs: command slo with an HTML page; settings page from the flags

Cause: operators could not see the burn report, and no page listed the settings. Change: "oleanderchute slo" prints a table or JSON and writes a self-contained page with SVG plots. docs/settings.md is generated from the kong model of serve by a hidden command that go generate runs; a test compares the page with the flags. docs/slo.md explains objectives, burn, alerts and what to do. It was not looked at as a picture: no browser is installed. Each test fails with its mechanism off: text/template instead of html/template, bars nine times too high, an unclosed element, alerts or missing VMs not printed, a changed help text, a default of the flag that differs from the package's.

--- a/cmd/oleanderchute/cli.go
+++ b/cmd/oleanderchute/cli.go
@@ -37,7 +37,10 @@
 	Outcome  OutcomeCmd  `cmd:"" help:"Show the state or outcome of a request."`
 	Cancel   CancelCmd   `cmd:"" help:"Cancel a request."`
 	Drain    DrainCmd    `cmd:"" help:"Make a VM finish what it has and take nothing new."`
+	SLO      SLOCmd      `cmd:"" name:"slo" help:"Show error budgets and burn rates of the service-level objectives."`
 	Version  VersionCmd  `cmd:"" help:"Print the version of this program."`
+
+	SettingsPage SettingsPageCmd `cmd:"" name:"settings-page" hidden:"" help:"Write the page of settings from the flags."`
 }
 
 // Globals are the flags of all commands.
