slo, server: copy service-level data one objective at a time

Cause: a copy of 32 objectives with full histograms takes 18 ms under the keeper's lock, which the control goroutine takes when tables change; heartbeats are 50 ms apart. Change: the lock is taken once per objective; the text of an objective is built once; the data go between VMs on the bulk lane.

--- a/server/slo.go
+++ b/server/slo.go
@@ -82,10 +82,19 @@
 
 // encode returns this VM's data for another VM.
 func (k *sloKeeper) encode() ([]byte, error) {
-	k.mu.Lock()
-	snap := k.set.Snapshot()
-	k.mu.Unlock()
-	return snap.Encode()
+	return k.snapshot().Encode()
+}
+
+// snapshot copies the data. It locks once per objective, so that the control goroutine
+// never waits for a copy of everything.
+func (k *sloKeeper) snapshot() slo.Snapshot {
+	var snap slo.Snapshot
+	for _, id := range k.set.IDs() {
+		k.mu.Lock()
+		snap.Add(k.set, id)
+		k.mu.Unlock()
+	}
+	return snap
 }
 
 // sloSubmitted records the answer to a submit and returns it.
@@ -244,10 +253,14 @@
 	writeJSON(w, http.StatusOK, report)
 }
 
+// sloTimeout bounds the call for one VM's data. It is longer than callTimeout, so that
+// the call goes on the bulk lane: full data take up to 90 KB per objective.
+const sloTimeout = 2 * callTimeout
+
 // sloOf asks a VM for its data.
 func (s *Server) sloOf(ctx context.Context, vm string, objectives []slo.Objective) (*slo.Set, error) {
 	var reply SLOReply
-	if err := s.callVM(ctx, vm, serviceCluster+".SLO", Empty{}, &reply, callTimeout); err != nil {
+	if err := s.callVM(ctx, vm, serviceCluster+".SLO", Empty{}, &reply, sloTimeout); err != nil {
 		return nil, err
 	}
 	return slo.Decode(objectives, reply.Data)
--- a/server/slo_file.go
+++ b/server/slo_file.go
@@ -57,15 +57,11 @@
 	k.set.DropAfter(now.Add(sloClockAhead))
 	pending := k.changed && k.path != ""
 	k.changed = false
-	var snap slo.Snapshot
-	if pending {
-		snap = k.set.Snapshot()
-	}
 	k.mu.Unlock()
 	if !pending {
 		return
 	}
-	if err := k.write(snap); err != nil {
+	if err := k.write(k.snapshot()); err != nil {
 		k.log.Error("service-level data cannot be saved", zap.String("file", k.path), zap.Error(err))
 		k.mu.Lock()
 		k.changed = true
--- a/slo/codec.go
+++ b/slo/codec.go
@@ -56,24 +56,33 @@
 	return m
 }
 
-// Snapshot copies the samples, so that the owner of the Set need not hold its lock
-// while they are encoded.
+// Snapshot copies the samples of all objectives.
 func (s *Set) Snapshot() Snapshot {
-	out := Snapshot{Version: formatVersion, Series: map[string]wireSeries{}}
-	for id, v := range s.series {
-		var w wireSeries
-		for _, r := range v.rings() {
-			cells := []wireCell{}
-			for _, c := range r.live() {
-				cells = append(cells, wireCell{Index: c.index, Good: c.good, Bad: c.bad, Counts: sparse(c.hist)})
-			}
-			w = append(w, cells)
-		}
-		out.Series[id] = w
+	out := Snapshot{}
+	for _, id := range s.ids {
+		out.Add(s, id)
 	}
 	return out
 }
 
+// Add copies the samples of one objective of a Set. The owner of the Set needs its lock
+// for each call alone: a copy takes about 0.6 ms for full histograms, and all of them
+// would hold up recording for 18 ms.
+func (s *Snapshot) Add(from *Set, id string) {
+	if s.Series == nil {
+		s.Version, s.Series = formatVersion, map[string]wireSeries{}
+	}
+	var w wireSeries
+	for _, r := range from.series[id].rings() {
+		cells := []wireCell{}
+		for _, c := range r.live() {
+			cells = append(cells, wireCell{Index: c.index, Good: c.good, Bad: c.bad, Counts: sparse(c.hist)})
+		}
+		w = append(w, cells)
+	}
+	s.Series[id] = w
+}
+
 func sparse(h *hdrhistogram.Histogram) []int64 {
 	if h == nil {
 		return nil
--- a/slo/report.go
+++ b/slo/report.go
@@ -11,8 +11,8 @@
 // the VMs.
 func (s *Set) Report(now time.Time) api.SLOReport {
 	out := api.SLOReport{UnixMillis: now.UnixMilli(), Objectives: []api.SLOObjective{}}
-	for _, o := range s.objectives {
-		out.Objectives = append(out.Objectives, s.series[o.String()].report(o, now))
+	for i, o := range s.objectives {
+		out.Objectives = append(out.Objectives, s.series[s.ids[i]].report(o, now))
 	}
 	return out
 }
--- a/slo/set.go
+++ b/slo/set.go
@@ -6,6 +6,7 @@
 // objectives: at most 0.6 MB each.
 type Set struct {
 	objectives []Objective
+	ids        []string           // texts of objectives, in their order
 	series     map[string]*series // by the objective's text
 }
 
@@ -13,15 +14,20 @@
 func NewSet(objectives []Objective) *Set {
 	s := &Set{objectives: objectives, series: map[string]*series{}}
 	for _, o := range objectives {
+		s.ids = append(s.ids, o.String())
 		s.series[o.String()] = newSeries()
 	}
 	return s
 }
 
+// IDs returns the texts of the objectives. They never change, so no lock is needed; the
+// caller must not change the slice.
+func (s *Set) IDs() []string { return s.ids }
+
 // Record adds a sample to every objective that it counts for. A sample older than the
 // buckets is dropped.
 func (s *Set) Record(now time.Time, sample Sample) {
-	for _, o := range s.objectives {
+	for i, o := range s.objectives {
 		if !o.matches(sample) {
 			continue
 		}
@@ -29,7 +35,7 @@
 		if o.hasValue() && !sample.Bad {
 			millis = max(0, sample.Value.Milliseconds())
 		}
-		s.series[o.String()].record(now, o.isBad(sample), millis)
+		s.series[s.ids[i]].record(now, o.isBad(sample), millis)
 	}
 }
 
