--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -35,7 +35,6 @@
 	confirmedAt time.Duration
 	confirmed   bool
 	reserved    bool // in the scheduler's account
-	committed   bool // the claim is in the log
 	// ending: its end has been proposed; reported: the worker waits for the
 	// acknowledgement.
 	ending   bool
@@ -76,6 +75,9 @@
 
 // confirm notes that the worker has started an attempt.
 func (o *owner) confirm(now time.Duration, a *attempt) {
+	if a.state == attemptGone {
+		a.confirmed = true // a later refusal or absence is no evidence any more
+	}
 	if a.state != attemptUncertain {
 		return
 	}
--- a/partition/sync.go
+++ b/partition/sync.go
@@ -85,6 +85,11 @@
 		o.replaceIncarnation(now, w, r.Incarnation)
 	}
 	w.noteToken(now, r.Token)
+	if now-w.syncSentAt < quickAnswer && len(r.Ended) == 0 {
+		w.quick++
+	} else {
+		w.quick = 0
+	}
 	w.synced, w.failing, w.lost = true, false, false
 	w.acks, w.ackSent = slices.Delete(w.acks, 0, min(w.ackSent, len(w.acks))), 0
 	w.leaving = w.leaving || r.Leaving || w.ann.Leaving && w.ann.Incarnation == w.incarnation
@@ -108,16 +113,19 @@
 	o.refresh(now, w)
 }
 
-// scheduleSync sends the next sync at once, except in two cases. If ends of this answer
+// scheduleSync sends the next sync at once, except in three cases. If ends of this answer
 // cannot be acknowledged yet, it waits for their commit, since the worker would answer at
 // once with the same ends. If the announcement of the worker's new incarnation is
-// missing, it pauses, since the worker announces itself only while no sync reaches it.
+// missing, it pauses, since the worker announces itself only while no sync reaches it. And
+// a worker that does not hold the call is paced.
 func (o *owner) scheduleSync(now time.Duration, w *workerState) {
 	switch {
 	case w.ann.Incarnation != w.incarnation:
-		w.nextSyncAt = now + o.certainLease
+		w.nextSyncAt = now + announceWait
 	case w.openEnds > 0:
 		w.nextSyncAt = now + ackHold
+	case w.quick > quickAnswers:
+		w.nextSyncAt = now + syncRetry
 	default:
 		o.startSync(now, w)
 	}
@@ -144,14 +152,24 @@
 	w.strays = strays
 }
 
-// adopt takes over a task of an idempotent request that an older epoch dispatched
-// without its claim becoming durable.
-func (o *owner) adopt(now time.Duration, w *workerState, id api.TaskID) *attempt {
+// unclaimed returns the open request of which an older epoch may have dispatched the
+// task without its claim becoming durable, or nil.
+func (o *owner) unclaimed(id api.TaskID) *liveRequest {
 	l := o.live[id.RequestKey]
-	if l == nil || !l.inherited || l.number > 0 || l.rec.Spec.NonIdempotent ||
+	if l == nil || !l.inherited || l.rec.Spec.NonIdempotent || l.rec.State.IsFinal() ||
 		attemptEpoch(id.Attempt) >= o.epoch || l.rec.attempt(id.Attempt) != nil {
 		return nil
 	}
+	return l
+}
+
+// adopt takes over a running task without a recorded claim, unless the request has been
+// placed again.
+func (o *owner) adopt(now time.Duration, w *workerState, id api.TaskID) *attempt {
+	l := o.unclaimed(id)
+	if l == nil || l.number > 0 {
+		return nil
+	}
 	if l.phase != phaseDoubt && l.phase != phaseBackoff && l.phase != phaseActive {
 		return nil
 	}
@@ -165,6 +183,21 @@
 	return a
 }
 
+// adoptEnded lists an ended task without a recorded claim. Its result counts in every
+// phase of the request, also when that is unknown.
+func (o *owner) adoptEnded(now time.Duration, w *workerState, id api.TaskID) *attempt {
+	l := o.unclaimed(id)
+	if l == nil {
+		return nil
+	}
+	if a := o.adopt(now, w, id); a != nil {
+		return a
+	}
+	a := &attempt{live: l, worker: w, incarnation: w.incarnation, id: id, state: attemptGone, confirmed: true}
+	o.addAttempt(a)
+	return a
+}
+
 // takeMissing resolves the attempts that a worker does not list.
 func (o *owner) takeMissing(now time.Duration, w *workerState, r *api.SyncResponse) {
 	listed := make(map[api.TaskID]bool, len(r.Running)+len(r.Ended))
--- a/placement/score.go
+++ b/placement/score.go
@@ -15,15 +15,15 @@
 	// fleet with unlike free amounts could otherwise visit every leaf.
 	searchBudget = 2048
 
-	// acceleratorPenalty keeps work without accelerators off workers with free ones,
-	// and crowdPenalty keeps work off workers that it is likely to outgrow.
+	// acceleratorPenalty keeps work without accelerators off workers with free ones.
 	acceleratorPenalty = 2.0
-	crowdPenalty       = 1.0
 	// failingPenalty keeps work off a worker whose latest tasks failed while others have
 	// room, before it is known whether the worker is to blame.
 	failingPenalty = 4.0
 	// strandPenalty weighs how uneven the fractions left in the dimensions are.
 	strandPenalty = 0.5
+	// minWeight makes work pack tightly also in a pool that is nearly empty.
+	minWeight = 0.1
 )
 
 // candidates collects at most Config.Candidates workers of x with room for demand.
@@ -75,19 +75,18 @@
 // scorer rates workers for one item; lower is better.
 type scorer struct {
 	demand   vector
-	likely   vector
 	weights  [dimCount]float64
 	places   map[place]int // not nil for a service
 	needsAcc bool
 }
 
 func (p *pool) scorer(e *entry) scorer {
-	sc := scorer{demand: e.demand, likely: p.kinds.likelyUse(e.item.Kind, e.demand)}
+	sc := scorer{demand: e.demand}
 	sc.needsAcc = e.demand[dimAccelerators] > 0
 	for d := range sc.weights {
 		if p.capacity[d] > 0 && e.demand[d] > 0 {
 			used := float64(p.reserved[d]) / float64(p.capacity[d])
-			sc.weights[d] = used * used * used
+			sc.weights[d] = minWeight + used*used*used
 		}
 	}
 	if e.item.Workload == api.WorkloadService {
@@ -108,9 +107,6 @@
 	if !sc.needsAcc && free[dimAccelerators] > 0 {
 		score += acceleratorPenalty
 	}
-	if !sc.likely.fits(&free) {
-		score += crowdPenalty
-	}
 	return score + failingPenalty*w.health.failing
 }
 
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -6,25 +6,22 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-// failer is what the simulated cluster needs of a test.
-type failer interface {
-	Fatalf(format string, args ...any)
-	Logf(format string, args ...any)
-}
+	"pgregory.net/rapid"
+)
 
 // host is one simulated machine: a clock, a disk and, while it is up, a node.
 type host struct {
-	cfg     Config
-	node    *Node // nil while down
-	rate    float64
-	boot    time.Duration // true time of the last start
-	disk    Recovered
-	copy    *Recovered // an old copy of the disk
-	pending *Ready     // returned and not yet synced
-	paused  bool
-	cut     bool // the network loses everything from and to it
+	cfg        Config
+	node       *Node // nil while down
+	rate       float64
+	boot       time.Duration // true time of the last start
+	disk       Recovered
+	copy       *Recovered // an old copy of the disk
+	pending    *Ready     // returned and not yet synced
+	paused     bool
+	cut        bool // the network loses everything from and to it
+	rolledBack bool // an old copy of the disk was restored
 }
 
 func (h *host) local(t time.Duration) time.Duration {
@@ -39,14 +36,15 @@
 
 // cluster is a set of hosts with an unreliable network, and the checks on them.
 type cluster struct {
-	t       failer
+	t       rapid.TB
 	rng     *rand.Rand
 	now     time.Duration
 	hosts   map[NodeID]*host
 	ids     []NodeID
 	net     []Message
 	loss    float64
-	maxSync int // with a probability of 1 in maxSync a Ready stays unsynced for a round
+	blocked map[[2]NodeID]bool // one-way links, from and to
+	maxSync int                // with a probability of 1 in maxSync a Ready stays unsynced for a round
 	// leaders holds the leader of each term; committed all committed entries, and
 	// commitTimes the true time when the index was first known as committed.
 	leaders     map[uint64]NodeID
@@ -55,12 +53,13 @@
 	proposed    int
 }
 
-func newCluster(t failer, seed uint64, voters int, learners ...NodeID) *cluster {
+func newCluster(t rapid.TB, seed uint64, voters int, learners ...NodeID) *cluster {
 	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Second,
-		hosts: map[NodeID]*host{}, leaders: map[uint64]NodeID{}}
+		hosts: map[NodeID]*host{}, leaders: map[uint64]NodeID{},
+		blocked: map[[2]NodeID]bool{}}
 	var vs []NodeID
 	for i := range voters {
-		vs = append(vs, NodeID(fmt.Sprintf("v%d", i+1)))
+		vs = append(vs, NodeID(fmt.Sprintf("vm%d#5f2a9c", i+1)))
 	}
 	for _, id := range append(slices.Clone(vs), learners...) {
 		c.add(Config{ID: id, Voters: vs, Learners: learners})
@@ -84,10 +83,11 @@
 	h.node = New(h.cfg, rec, h.local(c.now))
 }
 
-// crash loses what is not synced; sometimes the sync was done and only the sends are lost.
+// crash loses what is not synced; sometimes a part of it, or all of it, was written.
 func (c *cluster) crash(h *host) {
-	if h.pending != nil && c.rng.IntN(2) == 0 {
-		h.persist(h.pending)
+	if rd := h.pending; rd != nil && c.rng.IntN(2) == 0 {
+		rd.Entries = rd.Entries[:c.rng.IntN(len(rd.Entries)+1)]
+		h.persist(rd)
 	}
 	h.node, h.pending = nil, nil
 	for _, o := range c.hosts {
@@ -120,11 +120,8 @@
 		return
 	}
 	h.pending = &rd
-	forgot := h.node.Status().Role == RoleForgot
-	for _, m := range rd.Messages {
-		if forgot {
-			c.t.Fatalf("%s forgot and sends %+v", h.cfg.ID, m)
-		}
+	if h.node.role == RoleForgot && len(rd.Messages) > 0 {
+		c.t.Fatalf("%s forgot and sends %+v", h.cfg.ID, rd.Messages)
 	}
 	c.checkCommitted(h, rd)
 }
@@ -166,7 +163,8 @@
 	c.net[i] = c.net[len(c.net)-1]
 	c.net = c.net[:len(c.net)-1]
 	from, to := c.hosts[m.From], c.hosts[m.To]
-	if to == nil || to.node == nil || from.cut || to.cut || c.rng.Float64() < c.loss {
+	lost := from.cut || to == nil || to.cut || c.blocked[[2]NodeID{m.From, m.To}]
+	if lost || to.node == nil || c.rng.Float64() < c.loss {
 		return
 	}
 	if to.paused {
@@ -193,6 +191,29 @@
 	}
 }
 
+// tickAll lets d pass on all nodes.
+func (c *cluster) tickAll(d time.Duration) {
+	c.now += d
+	for _, id := range c.ids {
+		c.hosts[id].node.Tick(c.hosts[id].local(c.now))
+	}
+}
+
+// settle exchanges messages without loss or delay until there are none, and without
+// checks, for benchmarks and single rules; seen is called for each message.
+func (c *cluster) settle(seen func(Message)) {
+	for again := true; again; {
+		again = false
+		for _, id := range c.ids {
+			for _, m := range flush(c.hosts[id].node) {
+				again = true
+				seen(m)
+				c.hosts[m.To].node.Step(c.hosts[m.To].local(c.now), m)
+			}
+		}
+	}
+}
+
 func (c *cluster) work(h *host) {
 	c.take(h)
 	if c.maxSync == 0 || c.rng.IntN(c.maxSync) > 0 {
@@ -260,6 +281,9 @@
 			}
 			lease = id
 		}
+		if h.node.role == RoleForgot && !h.rolledBack {
+			c.t.Fatalf("%s forgot without a rollback", id)
+		}
 		c.checkConfirmed(h)
 	}
 	c.checkLogs()
@@ -279,16 +303,14 @@
 
 // checkLogs verifies log matching: equal index and term mean equal logs up to there.
 func (c *cluster) checkLogs() {
-	var ref *raftLog
+	var last *raftLog
 	for _, id := range c.ids {
-		h := c.hosts[id]
-		if h.node == nil {
-			continue
-		}
-		if ref != nil {
-			c.compare(ref, &h.node.log)
+		if n := c.hosts[id].node; n != nil {
+			if last != nil {
+				c.compare(last, &n.log)
+			}
+			last = &n.log
 		}
-		ref = &h.node.log
 	}
 }
 
@@ -303,12 +325,20 @@
 	}
 }
 
-// waitLeader runs until a leader has committed in its term and all members follow it.
+// waitLeader runs until a leader holds its lease and has applied an entry of its term.
 func (c *cluster) waitLeader() *host {
+	c.await("no leader", func(h *host) bool {
+		return h.node.log.appliedTerm == h.node.hs.Term && h.node.LeaseValid(h.local(c.now))
+	})
+	return c.leader()
+}
+
+// await runs until done reports true of the leader; it fails after 10 s.
+func (c *cluster) await(failure string, done func(*host) bool) {
 	for range 200 {
 		c.run(50 * time.Millisecond)
-		if h := c.leader(); h != nil && h.node.log.appliedTerm == h.node.hs.Term && h.node.LeaseValid(h.local(c.now)) {
-			return h
+		if h := c.leader(); h != nil && done(h) {
+			return
 		}
 	}
 	for _, id := range c.ids {
@@ -316,6 +346,5 @@
 			c.t.Logf("%+v", h.node.Status())
 		}
 	}
-	c.t.Fatalf("no leader within 10 s")
-	return nil
+	c.t.Fatalf("%s within 10 s", failure)
 }
--- a/raft/types.go
+++ b/raft/types.go
@@ -86,6 +86,7 @@
 }
 
 // Recovered is what the data folder held at start. The zero value is a first start.
+// Entries up to Snapshot.Index are ignored; New panics on a gap.
 type Recovered struct {
 	HardState HardState
 	Snapshot  Snapshot
@@ -157,8 +158,8 @@
 	// Facts are what the sender knows of the addressee (MsgHelloResponse) or of the
 	// other voters (MsgAppend).
 	Facts []MemberFact `cbor:"20,keyasint,omitempty"`
-	// Membership is the sender's newest in a MsgHelloResponse, and Index its entry. The
-	// membership on the disk of a restarted voter may be out of date.
+	// Membership is the sender's newest in a MsgHelloResponse. The one on the disk of a
+	// restarted voter may be out of date.
 	Membership *Membership `cbor:"21,keyasint,omitempty"`
 }
 
