--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,7 @@
 	hints    *leaderHints
 	problems *problemKeeper
 	metrics  *metrics
+	slo      *sloKeeper
 	// httpBytes counts the HTTP listener's traffic.
 	httpBytes byteCounter
 	// folder keeps other processes out of the data folder; nil without a disk.
@@ -73,6 +74,7 @@
 		HasDisk: settings.DataDir != "", PeerAddress: settings.PeerAddress, HTTPAddress: settings.HTTPAddress,
 	}
 	s.metrics = newMetrics(s)
+	s.slo = newSLOKeeper(settings, log)
 	s.view.Store(s.buildView(control.New()))
 	s.peers = newPeerSet(s)
 	return s, nil
@@ -116,6 +118,7 @@
 	g.Go(func() error { s.loop.run(work, s.step); return nil })
 	g.Go(func() error { return s.start(work) })
 	g.Go(func() error { s.watchProblems(work); return nil })
+	g.Go(func() error { s.slo.run(work); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -315,6 +318,7 @@
 	for _, h := range s.partitions {
 		h.step(now, partition.TablesChanged{Tables: tables})
 	}
+	s.slo.tablesApplied(s.control.state.History())
 	s.problems.setTables(s.control.state.Check(tables, nil), s.control.state.Resolver())
 }
 
