server: close the control store when the daemon stops before it is opened

Cause: start returned without closing the store, and the group's lock stayed held in the process (found by the slo test that restarts a VM). Change: abandon closes it once the control goroutine has ended.

--- a/server/server.go
+++ b/server/server.go
@@ -157,18 +157,28 @@
 		case errors.Is(err, errClusterExists):
 			s.log.Info("a cluster exists; joining it instead of creating one")
 		case err != nil:
-			return nil //nolint:nilerr // the context has ended: a normal shutdown
+			return errors.WithStack(st.Close()) // a normal shutdown: the context has ended
 		default:
 			cfg.Voters = []raft.NodeID{s.nodeID()}
 		}
 	}
 	if err := s.loop.call(ctx, func() { s.openControl(cfg, st, rec) }); err != nil {
-		return nil //nolint:nilerr // the loop has stopped: a normal shutdown
+		return s.abandon(st)
 	}
 	s.keepJoined(ctx)
 	return nil
 }
 
+// abandon closes the store of a control group that was not opened because the daemon
+// stops. Whether it was opened is known once the control goroutine has ended.
+func (s *Server) abandon(st store) error {
+	<-s.loop.done
+	if s.control != nil {
+		return nil
+	}
+	return errors.WithStack(st.Close())
+}
+
 func isFirstStart(rec raft.Recovered) bool {
 	return rec.HardState == (raft.HardState{}) && rec.Snapshot.Index == 0 && len(rec.Entries) == 0
 }
