api, standin: index of a gang's task

Cause: TaskID could not tell the tasks of one gang apart. Change: TaskID has Index (JSON "index", CBOR key 4, both omitted when 0). A body with answer_index makes a task answer its index.

--- a/api/request.go
+++ b/api/request.go
@@ -71,7 +71,8 @@
 	// Class defaults to normal.
 	Class     Class     `json:"class,omitempty"`
 	Resources Resources `json:"resources"`
-	// Tasks is the number of tasks of a gang; 0 means 1.
+	// Tasks is the number of tasks of a gang; 0 means 1. More than 1 needs a route with
+	// the workload gang. Each task gets Resources and Body.
 	Tasks int `json:"tasks,omitempty"`
 	// RunTimeMillis is the declared run time in milliseconds; 0 means unknown.
 	RunTimeMillis int64 `json:"run_time_ms,omitempty"`
@@ -114,10 +115,12 @@
 	State  State  `json:"state"`
 	// Reason explains not_run, failed and unknown, and what a queued request waits for.
 	Reason string `json:"reason,omitempty"`
+	// Worker is that of the latest attempt; for a gang, that of its first task.
 	Worker string `json:"worker,omitempty"`
 	// Attempt counts dispatches of this request from 1; 0 means never dispatched.
 	Attempt int `json:"attempt,omitempty"`
-	// Answer is whole: AnswerDigest is the hexadecimal SHA-256 of it.
+	// Answer is whole: AnswerDigest is the hexadecimal SHA-256 of it. The answer of a
+	// gang is a JSON array of its tasks' answers as base64 strings, in task order.
 	Answer       []byte `json:"answer,omitempty"`
 	AnswerDigest string `json:"answer_digest,omitempty"`
 	// WaitedMillis is the time from acceptance to the first dispatch in milliseconds.
--- a/api/worker.go
+++ b/api/worker.go
@@ -19,10 +19,12 @@
 	Leaving       bool      `json:"leaving,omitempty"`
 }
 
-// TaskID identifies one attempt to run one request.
+// TaskID identifies one task of one attempt to run one request.
 type TaskID struct {
 	RequestKey
 	Attempt int `json:"attempt" cbor:"3,keyasint"`
+	// Index counts the tasks of a gang from 0. It is 0 for a request with one task.
+	Index int `json:"index,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // SyncRequest is the body of POST /v1/sync on a worker. It grants the task lease
--- a/standin/dispatch.go
+++ b/standin/dispatch.go
@@ -100,7 +100,7 @@
 		inc.stopTask(id, t, reasonLeaseEnd)
 		return
 	}
-	end := api.TaskEnd{Kind: api.EndDone, Answer: t.program.answer(t.dispatch.Body)}
+	end := api.TaskEnd{Kind: api.EndDone, Answer: t.program.taskAnswer(t.dispatch.Body, id.Index)}
 	if t.program.Fail || inc.faults.get().FailAll {
 		end = api.TaskEnd{Kind: api.EndFailed, Reason: "task failed"}
 	}
--- a/standin/incarnation.go
+++ b/standin/incarnation.go
@@ -126,7 +126,7 @@
 // record journals an event with the present use; mu must be held.
 func (inc *incarnation) record(e Event, id api.TaskID) error {
 	e.Worker, e.Incarnation = inc.cfg.Worker, inc.id
-	e.Caller, e.Key, e.Attempt = id.Caller, id.Key, id.Attempt
+	e.Caller, e.Key, e.Attempt, e.Index = id.Caller, id.Key, id.Attempt, id.Index
 	e.InUse, e.Running = inc.inUse, inc.running
 	err := inc.journal.write(e)
 	if err != nil {
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -36,6 +36,7 @@
 	Caller      string    `json:"caller,omitempty"`
 	Key         string    `json:"key,omitempty"`
 	Attempt     int       `json:"attempt,omitempty"`
+	Index       int       `json:"index,omitempty"` // of a gang's task
 	Epoch       uint64    `json:"epoch,omitempty"`
 	Reason      string    `json:"reason,omitempty"`
 	// LeaseEndNanos is when the lease ended, on a stop for that reason. A paused
@@ -50,9 +51,9 @@
 	Connections int            `json:"connections,omitempty"`
 }
 
-// Task returns the attempt that the event is about.
+// Task returns the task that the event is about.
 func (e Event) Task() api.TaskID {
-	return api.TaskID{RequestKey: api.RequestKey{Caller: e.Caller, Key: e.Key}, Attempt: e.Attempt}
+	return api.TaskID{RequestKey: api.RequestKey{Caller: e.Caller, Key: e.Key}, Attempt: e.Attempt, Index: e.Index}
 }
 
 func (e Event) time() time.Time { return time.Unix(0, e.UnixNanos) }
--- a/standin/program.go
+++ b/standin/program.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -19,6 +20,8 @@
 	Answer      *string `json:"answer"`
 	AnswerBytes int     `json:"answer_bytes"`
 	Fail        bool    `json:"fail"`
+	// AnswerIndex makes the answer the decimal index of the task in its gang.
+	AnswerIndex bool `json:"answer_index"`
 	// Used replaces the dispatched resources in usage reports.
 	Used *api.Resources `json:"used"`
 }
@@ -38,6 +41,14 @@
 	return time.Duration(max(*p.RunMillis, 0)) * time.Millisecond
 }
 
+// taskAnswer returns the answer of one task of a gang; a single task has index 0.
+func (p program) taskAnswer(body []byte, index int) []byte {
+	if p.AnswerIndex {
+		return strconv.AppendInt(nil, int64(index), 10)
+	}
+	return p.answer(body)
+}
+
 func (p program) answer(body []byte) []byte {
 	switch {
 	case p.AnswerBytes > 0:
--- a/standin/sync.go
+++ b/standin/sync.go
@@ -133,5 +133,8 @@
 	if a.RequestKey != b.RequestKey {
 		return a.String() < b.String()
 	}
-	return a.Attempt < b.Attempt
+	if a.Attempt != b.Attempt {
+		return a.Attempt < b.Attempt
+	}
+	return a.Index < b.Index
 }
