partition: requests with several tasks run as a gang

Cause: the life cycle refused every request with Tasks > 1.

Change: on a route with the workload gang, a request runs tasks 0..n-1, placed whole or not at all. One claim command holds all places. The record keeps an end for each task; the attempt's end sums them up and stays open while a task is open. A task that ends without being done makes the owner revoke or stop the others, and the gang is placed again only after all have ended. A failed task fails the request with its index. On other routes Tasks > 1 is refused with the field and a way out. An idempotent gang that a former owner dispatched without a durable claim is stopped and placed again, since the places of its other tasks are not known.

The encoding of requests with one task is unchanged and tested. In the property test, the test of one live execution and the acknowledgement check now work per task; for single tasks they are as strict as before. Model tasks of a gang wait for the start of all others, so that a partial gang never ends by itself.

--- a/partition/apply.go
+++ b/partition/apply.go
@@ -73,7 +73,9 @@
 	if len(r.Attempts) == 0 {
 		r.WaitedMillis = c.WaitedMillis
 	}
-	r.Attempts = append(r.Attempts, attemptRecord{Number: c.Task.Attempt, Worker: c.Worker, Incarnation: c.Incarnation})
+	r.Attempts = append(r.Attempts, attemptRecord{
+		Number: c.Task.Attempt, Worker: c.Worker, Incarnation: c.Incarnation, Tasks: taskRecords(c.Places),
+	})
 	r.State = api.StateClaimed
 }
 
@@ -83,6 +85,10 @@
 	if r == nil || r.State.IsFinal() {
 		return
 	}
+	if r.Spec.isGang() {
+		r.endTask(epoch, c)
+		return
+	}
 	a := r.attempt(c.Task.Attempt)
 	if a == nil {
 		r.Attempts = append(r.Attempts, attemptRecord{Number: c.Task.Attempt, Worker: c.Worker, Incarnation: c.Incarnation})
@@ -102,28 +108,28 @@
 		r.finish(api.StateFailed, c.Reason)
 	case c.End == attemptWithdrawn:
 		r.remove(c.Task.Attempt)
-		r.settle(epoch, c)
+		r.settle(epoch, c.End, c.Reason, c.MaxAttempts)
 	case wasOpen || r.State == api.StateUnknown:
-		r.settle(epoch, c)
+		r.settle(epoch, c.End, c.Reason, c.MaxAttempts)
 	}
 }
 
 // settle decides the state of a request after an attempt ended without a result.
-func (r *record) settle(epoch uint64, c *endCommand) {
+func (r *record) settle(epoch uint64, end attemptEnd, reason string, maxAttempts int) {
 	if r.hasOpen() {
 		return
 	}
-	if c.End == attemptStopped && r.Spec.NonIdempotent {
-		r.finish(api.StateFailed, c.Reason)
+	if end == attemptStopped && r.Spec.NonIdempotent {
+		r.finish(api.StateFailed, reason)
 		return
 	}
-	exhausted := len(r.Attempts) >= c.MaxAttempts
+	exhausted := len(r.Attempts) >= maxAttempts
 	lost := r.Spec.NonIdempotent && r.count(attemptLost) > 0
 	if r.Cancelled || exhausted || lost || r.State == api.StateUnknown {
-		r.conclude(epoch, c.Reason)
+		r.conclude(epoch, reason)
 		return
 	}
-	r.State, r.Reason = api.StateQueued, c.Reason
+	r.State, r.Reason = api.StateQueued, reason
 }
 
 // conclude ends a request that gets no further attempt and has no result.
@@ -142,6 +148,9 @@
 // digest stays for resends.
 func (r *record) finish(state api.State, reason string) {
 	r.State, r.Reason, r.Body = state, reason, nil
+	if state.IsFinal() {
+		r.dropTaskAnswers()
+	}
 }
 
 // remove drops an attempt that was never dispatched, so that it does not count.
--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -22,7 +22,8 @@
 	attemptGone
 )
 
-// attempt is the owner's view of one attempt that has no confirmed end.
+// attempt is the owner's view of one attempt that has no confirmed end; of a gang's
+// attempt it is one task.
 type attempt struct {
 	live        *liveRequest
 	worker      *workerState
@@ -42,6 +43,10 @@
 	// halting: it should be revoked or stopped; asking: a repetition is scheduled.
 	halting bool
 	asking  bool
+	// unclaimed: a gang's task that an older epoch dispatched without a durable claim.
+	// The places of the other tasks are not known, so it is only stopped; nothing of it
+	// is recorded.
+	unclaimed bool
 }
 
 // addAttempt lists an attempt.
@@ -68,7 +73,7 @@
 func (o *owner) release(now time.Duration, a *attempt) {
 	if a.reserved {
 		a.reserved = false
-		o.sched.Release(now, a.id.RequestKey, 0)
+		o.sched.Release(now, a.id.RequestKey, a.id.Index)
 		o.decideDue = true
 	}
 }
@@ -92,7 +97,7 @@
 		return
 	}
 	a.reserved = true
-	o.sched.Reserve(now, o.item(a.live), 0, w.name)
+	o.sched.Reserve(now, o.item(a.live), a.id.Index, w.name)
 }
 
 // proposeEnd proposes to record the end of an attempt. Its reservation is returned at
@@ -111,6 +116,10 @@
 		o.settleLive(now, a.live)
 		return
 	}
+	if a.unclaimed {
+		o.dropUnclaimed(now, a)
+		return
+	}
 	a.ending = true
 	o.release(now, a)
 	c := &endCommand{
@@ -120,6 +129,9 @@
 	if end == attemptDone || end == attemptFailed {
 		c.Answer, c.AnswerDigest = e.Answer, digestOf(e.Answer)
 	}
+	if a.live.rec.Spec.isGang() {
+		o.prepareTaskEnd(now, a, c)
+	}
 	o.propose(command{End: c})
 }
 
@@ -134,9 +146,12 @@
 			a.worker.pendingEnds--
 			o.resumeSync(now, a.worker)
 		}
-		if c.End == attemptLost && !a.live.rec.State.IsFinal() {
+		switch {
+		case c.End == attemptLost && !a.live.rec.State.IsFinal():
 			a.state = attemptGone
-		} else {
+		case c.End == attemptWithdrawn:
+			o.dropTasks(now, a)
+		default:
 			o.dropAttempt(now, a)
 		}
 	}
--- a/partition/command.go
+++ b/partition/command.go
@@ -35,9 +35,13 @@
 	Worker       string     `cbor:"2,keyasint"`
 	Incarnation  string     `cbor:"3,keyasint"`
 	WaitedMillis int64      `cbor:"4,keyasint,omitempty"`
+	// Places are those of a gang's tasks in order, nil for a single task. Task, Worker
+	// and Incarnation are then those of the first.
+	Places []taskPlace `cbor:"5,keyasint,omitempty"`
 }
 
-// endCommand records the end of an attempt, also of one whose claim is not recorded.
+// endCommand records the end of a task, also of one whose claim is not recorded. With
+// attemptWithdrawn it ends the whole attempt of a gang.
 type endCommand struct {
 	Task         api.TaskID `cbor:"1,keyasint"`
 	Worker       string     `cbor:"2,keyasint"`
@@ -48,6 +52,8 @@
 	AnswerDigest []byte     `cbor:"7,keyasint,omitempty"`
 	// MaxAttempts is the proposer's setting, so that replicas decide alike.
 	MaxAttempts int `cbor:"8,keyasint,omitempty"`
+	// Places are those of a gang whose claim was not recorded when this was proposed.
+	Places []taskPlace `cbor:"9,keyasint,omitempty"`
 }
 
 // cancelCommand ends a request that has not started, or forbids further attempts.
--- a/partition/config.go
+++ b/partition/config.go
@@ -57,6 +57,9 @@
 	maxMillis = int64(366 * 24 * time.Hour / time.Millisecond)
 	// maxResource is the largest amount in any dimension that a request may declare.
 	maxResource = int64(1) << 40
+	// maxTasks bounds the tasks of a gang, since its claim is one log entry with about
+	// 60 B a task.
+	maxTasks = 1024
 	// maxNameBytes bounds caller, key and team, in bytes.
 	maxNameBytes = 512
 )
--- a/partition/dispatch.go
+++ b/partition/dispatch.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -27,36 +28,66 @@
 	}
 }
 
-// place begins an attempt on the worker that the scheduler chose.
+// place begins an attempt on the workers that the scheduler chose, one for each task.
 func (o *owner) place(now time.Duration, p *placement.Placement) {
 	l := o.live[p.Key]
-	if l == nil || l.phase != phaseQueued || len(p.Workers) != 1 {
-		o.sched.Release(now, p.Key, 0)
+	if l == nil || l.phase != phaseQueued || len(p.Workers) != l.rec.Spec.taskCount() {
+		o.unplace(now, p)
 		return
 	}
-	w := o.workers[p.Workers[0]]
-	if w == nil || !w.placeable {
-		o.sched.Release(now, p.Key, 0)
+	if !o.placeable(p.Workers) {
+		o.unplace(now, p)
 		o.resume(now, l)
 		return
 	}
 	l.number++
 	l.phase = phaseActive
-	a := &attempt{
-		live: l, worker: w, incarnation: w.incarnation, reserved: true,
-		id: api.TaskID{RequestKey: l.key, Attempt: attemptNumber(o.epoch, l.number)},
+	tasks := make([]*attempt, len(p.Workers))
+	for i, name := range p.Workers {
+		w := o.workers[name]
+		tasks[i] = &attempt{
+			live: l, worker: w, incarnation: w.incarnation, reserved: true,
+			id: api.TaskID{RequestKey: l.key, Attempt: attemptNumber(o.epoch, l.number), Index: i},
+		}
+		o.addAttempt(tasks[i])
 	}
-	o.addAttempt(a)
 	o.budget.started()
-	o.proposeClaim(now, a)
+	o.proposeClaim(now, tasks[0])
 	if !l.rec.Spec.NonIdempotent {
+		o.sendAll(tasks)
+	}
+}
+
+// placeable reports whether all the workers may get new work.
+func (o *owner) placeable(names []string) bool {
+	for _, name := range names {
+		if w := o.workers[name]; w == nil || !w.placeable {
+			return false
+		}
+	}
+	return true
+}
+
+// unplace returns the reservations of a placement that is not used.
+func (o *owner) unplace(now time.Duration, p *placement.Placement) {
+	for i := range p.Workers {
+		o.sched.Release(now, p.Key, i)
+	}
+}
+
+// sendAll dispatches the tasks of an attempt.
+func (o *owner) sendAll(tasks []*attempt) {
+	for _, a := range tasks {
 		o.send(a)
 	}
 }
 
-// proposeClaim proposes to record an attempt.
+// proposeClaim proposes to record an attempt, of which a is the first task.
 func (o *owner) proposeClaim(now time.Duration, a *attempt) {
 	c := &claimCommand{Task: a.id, Worker: a.worker.name, Incarnation: a.incarnation}
+	if a.live.rec.Spec.isGang() {
+		c.Places = places(a.live.tasksOf(a.id.Attempt))
+	}
 	if len(a.live.rec.Attempts) == 0 {
 		c.WaitedMillis = api.Millis(now - a.live.accepted)
 	}
@@ -72,18 +103,24 @@
 		return
 	}
 	r := a.live.rec.attempt(a.id.Attempt)
+	tasks := a.live.tasksOf(a.id.Attempt)
 	switch {
 	case r == nil || r.End != attemptOpen:
-		o.dropAttempt(now, a)
+		o.dropTasks(now, a)
 		o.reconcile(now, a.live)
-	case a.live.cancelWanted || !a.worker.placeable || a.worker.incarnation != a.incarnation || !a.reserved:
-		// Without a reservation the worker was lost and came back during the commit.
+	case a.live.cancelWanted || slices.ContainsFunc(tasks, (*attempt).isUnusable):
 		o.proposeEnd(now, a, attemptWithdrawn, "its worker became unavailable before the dispatch")
 	default:
-		o.send(a)
+		o.sendAll(tasks)
 	}
 }
 
+// isUnusable reports whether a claimed task must not be dispatched any more. Without a
+// reservation the worker was lost and came back during the commit.
+func (a *attempt) isUnusable() bool {
+	return !a.worker.placeable || a.worker.incarnation != a.incarnation || !a.reserved
+}
+
 // send dispatches an attempt. The worker refuses it once the token's lease has passed.
 func (o *owner) send(a *attempt) {
 	w, r := a.worker, a.live.rec
--- a/partition/ends.go
+++ b/partition/ends.go
@@ -40,6 +40,11 @@
 		// A refusal tells nothing about other attempts, so it is not needed.
 		a = o.adoptEnded(now, w, e.Task)
 	}
+	if a != nil && a.unclaimed && a.worker == w {
+		o.acknowledge(w, e.Task)
+		o.dropUnclaimed(now, a)
+		return true
+	}
 	if rec == nil || a == nil || a.worker != w || rec.State.IsFinal() {
 		o.acknowledge(w, e.Task)
 		if a != nil && a.worker == w && !a.ending {
--- a/partition/fake_test.go
+++ b/partition/fake_test.go
@@ -14,12 +14,18 @@
 	workers  []*fitWorker
 	queue    []api.RequestKey
 	items    map[api.RequestKey]placement.Item
-	reserved map[api.RequestKey]*fitWorker
+	reserved map[fitTask]*fitWorker
 	sizes    map[api.RequestKey]api.Resources
 	refuse   *placement.Admission
 	starts   int
 }
 
+// fitTask is one task of an item.
+type fitTask struct {
+	key  api.RequestKey
+	task int
+}
+
 type fitWorker struct {
 	placement.Worker
 	placeable bool
@@ -28,7 +34,7 @@
 }
 
 func newFirstFit() Scheduler {
-	return &firstFit{items: map[api.RequestKey]placement.Item{}, reserved: map[api.RequestKey]*fitWorker{},
+	return &firstFit{items: map[api.RequestKey]placement.Item{}, reserved: map[fitTask]*fitWorker{},
 		sizes: map[api.RequestKey]api.Resources{}}
 }
 
@@ -107,35 +113,51 @@
 }
 
 func (f *firstFit) place(item placement.Item, d *placement.Decision) bool {
+	p := placement.Placement{Key: item.Key}
+	for task := range item.Tasks {
+		w := f.room(item)
+		if w == nil {
+			for task := range p.Workers {
+				f.Release(0, item.Key, task)
+			}
+			return false
+		}
+		f.take(item, task, w)
+		p.Workers = append(p.Workers, w.Name)
+	}
+	delete(f.items, item.Key)
+	f.starts++
+	d.Placements = append(d.Placements, p)
+	return true
+}
+
+// room returns the first worker with room for one task.
+func (f *firstFit) room(item placement.Item) *fitWorker {
 	for _, w := range f.workers {
 		if w.Pool == item.Pool && w.placeable && w.tasks < w.Slots && item.Resources.Add(w.used).Fits(w.Capacity) {
-			delete(f.items, item.Key)
-			f.take(item, w)
-			f.starts++
-			d.Placements = append(d.Placements, placement.Placement{Key: item.Key, Workers: []string{w.Name}})
-			return true
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
-func (f *firstFit) take(item placement.Item, w *fitWorker) {
-	if f.reserved[item.Key] != nil {
+func (f *firstFit) take(item placement.Item, task int, w *fitWorker) {
+	if f.reserved[fitTask{item.Key, task}] != nil {
 		panic("reserved twice: " + item.Key.String())
 	}
-	f.reserved[item.Key] = w
+	f.reserved[fitTask{item.Key, task}] = w
 	w.used, w.tasks = w.used.Add(item.Resources), w.tasks+1
 	f.sizes[item.Key] = item.Resources
 }
 
-func (f *firstFit) Reserve(_ time.Duration, item placement.Item, _ int, worker string) {
-	f.take(item, f.find(worker))
+func (f *firstFit) Reserve(_ time.Duration, item placement.Item, task int, worker string) {
+	f.take(item, task, f.find(worker))
 }
 
-func (f *firstFit) Release(_ time.Duration, key api.RequestKey, _ int) {
-	if w := f.reserved[key]; w != nil {
+func (f *firstFit) Release(_ time.Duration, key api.RequestKey, task int) {
+	if w := f.reserved[fitTask{key, task}]; w != nil {
 		w.used, w.tasks = w.used.Sub(f.sizes[key]), w.tasks-1
-		delete(f.reserved, key)
+		delete(f.reserved, fitTask{key, task})
 	}
 }
 
--- /dev/null
+++ b/partition/gang_model_test.go
@@ -0,0 +1,81 @@
+package partition
+
+import (
+	"encoding/json"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// gangTasks returns how many tasks the request with the key has: 2 or 3 for a third of
+// the keys, otherwise 1.
+func gangTasks(k api.RequestKey) int {
+	switch k.Key[len(k.Key)-1] {
+	case '0', '5':
+		return 2
+	case '7':
+		return 3
+	}
+	return 1
+}
+
+// isWhole reports whether all tasks of the attempt have started.
+func (s *sim) isWhole(id api.TaskID) bool {
+	for i := range gangTasks(id.RequestKey) {
+		if s.starts[api.TaskID{RequestKey: id.RequestKey, Attempt: id.Attempt, Index: i}] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// wholeAnswer returns the right answer of a request.
+func (s *sim) wholeAnswer(k api.RequestKey) string {
+	one, n := answerFor(k.Key, s.body[k]), gangTasks(k)
+	if n == 1 {
+		return one
+	}
+	var list [][]byte
+	for range n {
+		list = append(list, []byte(one))
+	}
+	data, err := json.Marshal(list) // []byte is encoded as base64
+	if err != nil {
+		s.fatal("encode: %v", err)
+	}
+	return string(data)
+}
+
+// allDone reports whether all tasks of one attempt of the request have run to their end.
+func (s *sim) allDone(k api.RequestKey) bool {
+	n, count := gangTasks(k), map[int]int{}
+	for id := range s.done {
+		if id.RequestKey == k {
+			count[id.Attempt]++
+		}
+	}
+	for _, done := range count {
+		if done == n {
+			return true
+		}
+	}
+	return false
+}
+
+// unresolvableGang reports whether no worker can tell what became of a gang: the process
+// of a lost task is dead and left no trace, or a former owner may have sent the gang
+// without a durable claim, so that the places of its tasks are not recorded.
+func (s *sim) unresolvableGang(r *record) bool {
+	if !r.Spec.NonIdempotent && r.AcceptEpoch != s.epoch {
+		return true
+	}
+	for _, a := range r.Attempts {
+		for i, t := range a.Tasks {
+			w := s.worker(t.Worker)
+			id := api.TaskID{RequestKey: r.Spec.Key, Attempt: a.Number, Index: i}
+			if t.End == attemptLost && t.Incarnation != w.incarnation && (!w.journal || w.known[id] != api.DispatchStarted) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -123,7 +123,11 @@
 	o.live[l.key] = l
 	o.setTimes(l, now, nowUnixMillis)
 	for i := range r.Attempts {
-		if a := &r.Attempts[i]; a.End == attemptOpen || a.End == attemptLost {
+		a := &r.Attempts[i]
+		switch {
+		case a.Tasks != nil:
+			o.inheritGang(l, a)
+		case a.End == attemptOpen || a.End == attemptLost:
 			o.inheritAttempt(l, a)
 		}
 	}
@@ -208,7 +212,7 @@
 func specItem(s *spec) placement.Item {
 	return placement.Item{
 		Key: s.Key, Pool: s.Pool, Kind: s.Kind, Team: s.Team, Class: s.Class, Workload: s.Workload,
-		Resources: s.Resources, Tasks: 1, Region: s.Region,
+		Resources: s.Resources, Tasks: s.taskCount(), Region: s.Region,
 		RunTime: time.Duration(s.RunTimeMillis) * time.Millisecond,
 	}
 }
--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -63,6 +63,8 @@
 	waiter  WaiterID
 	waiting map[WaiterID]api.RequestKey
 	started map[api.RequestKey]int
+	starts  map[api.TaskID]int  // by task; a non-idempotent task by attempt 0 too
+	done    map[api.TaskID]bool // tasks that ran to their end
 	body    map[api.RequestKey][]byte
 	told    map[api.RequestKey]api.State
 	// accepted has the keys that were ever recorded.
@@ -345,12 +347,13 @@
 	}
 }
 
-// checkStart: one live execution of a key, one start of a non-idempotent key, no start of
-// what did not run, one body for a key, and room on the worker.
+// checkStart: one live execution of a task, none of two attempts of a key, one start of
+// each non-idempotent task, no start of what did not run, one body for a key, and room on
+// the worker.
 func (s *sim) checkStart(on *modelWorker, d api.Dispatch) {
 	k := d.Task.RequestKey
 	for _, w := range s.workers {
-		if w.live(k) {
+		if w.conflicts(d.Task) {
 			s.fatal("%v starts on %s while it runs on %s", d.Task, on.name, w.name)
 		}
 	}
@@ -366,7 +369,9 @@
 		s.fatal("%v starts without a record", k)
 	}
 	s.started[k]++
-	if r.Spec.NonIdempotent && s.started[k] > 1 {
+	s.starts[d.Task]++
+	s.starts[api.TaskID{RequestKey: k, Index: d.Task.Index}]++
+	if r.Spec.NonIdempotent && (s.starts[api.TaskID{RequestKey: k, Index: d.Task.Index}] > 1 || s.started[k] > r.Spec.taskCount()) {
 		s.fatal("non-idempotent %v starts twice", k)
 	}
 	if r.State == api.StateNotRun {
@@ -387,7 +392,8 @@
 	if r == nil || r.State.IsFinal() {
 		return
 	}
-	if a := r.attempt(id.Attempt); a != nil && a.End == attemptOpen {
+	a := r.attempt(id.Attempt)
+	if a != nil && (a.Tasks == nil && a.End == attemptOpen || a.Tasks != nil && a.Tasks[id.Index].End == attemptOpen) {
 		s.fatal("%v acknowledged before its record", id)
 	}
 }
@@ -416,8 +422,10 @@
 		s.fatal("%v told as %s, before as %s", k, a.Status.State, s.told[k])
 	case a.Status.State == api.StateNotRun && s.started[k] > 0:
 		s.fatal("%v told as not run after a start", k)
-	case a.Status.State == api.StateDone && string(a.Status.Answer) != answerFor(k.Key, s.body[k]):
+	case a.Status.State == api.StateDone && string(a.Status.Answer) != s.wholeAnswer(k):
 		s.fatal("%v told with answer %q", k, a.Status.Answer)
+	case a.Status.State == api.StateDone && !s.allDone(k):
+		s.fatal("%v told as done, but a task is not", k)
 	}
 	if !s.told[k].IsFinal() {
 		s.told[k] = a.Status.State
@@ -433,8 +441,15 @@
 			s.fatal("replicas differ")
 		}
 	}
+	for _, w := range s.workers {
+		if len(w.order) > 0 {
+			s.fatal("%v still run on %s", w.order, w.name)
+		}
+	}
 	for k, r := range s.ref.records {
 		switch {
+		case r.State == api.StateDone && !s.allDone(k):
+			s.fatal("%v is done, but a task is not", k)
 		case !r.State.IsOutcome():
 			s.fatal("%v is left %s: %+v, %s", k, r.State, r.Attempts, s.owner.p.Explain(s.owner.clock.read(s.now), k).WaitsFor)
 		case r.State == api.StateNotRun && s.started[k] > 0:
@@ -448,6 +463,9 @@
 // unresolvable reports whether no worker can tell what became of a request: its process
 // is dead and left no trace, or a former owner may have sent it without a durable claim.
 func (s *sim) unresolvable(r *record) bool {
+	if r.Spec.isGang() {
+		return s.unresolvableGang(r)
+	}
 	for _, w := range s.workers {
 		for id, state := range w.known {
 			if id.RequestKey == r.Spec.Key && state == api.DispatchStarted {
@@ -472,6 +490,7 @@
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: time.Hour, seen: seen,
 		waiting: map[WaiterID]api.RequestKey{}, started: map[api.RequestKey]int{},
+		starts: map[api.TaskID]int{}, done: map[api.TaskID]bool{},
 		body: map[api.RequestKey][]byte{}, told: map[api.RequestKey]api.State{}, accepted: map[api.RequestKey]bool{},
 		loss: rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss"),
 		dup:  rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "dup"),
@@ -550,6 +569,9 @@
 		e := Submit{Waiter: s.waiter, WaitUntil: until, Route: api.Route{Name: "draft", Pool: "blue"}, NowUnixMillis: int64(s.now / ms)}
 		e.Request = api.SubmitRequest{Caller: "c", Key: k.Key, Body: []byte("body"), Resources: api.Resources{MilliCPU: 1000}}
 		e.Request.NonIdempotent = len(k.Key)%2 == int(k.Key[len(k.Key)-1])%2
+		if n := gangTasks(k); n > 1 {
+			e.Route, e.Request.Tasks = api.Route{Name: "train", Pool: "blue", Workload: api.WorkloadGang}, n
+		}
 		if s.chance(0.2) {
 			e.Request.Body = []byte("another")
 		}
@@ -601,7 +623,8 @@
 			seen[what] += n
 		}
 	}
-	for _, what := range []string{"start", "end done", "end failed", "end not_run", "end unknown", "expired", "key_reused", "unknown_result"} {
+	for _, what := range []string{"start", "end done", "end failed", "end not_run", "end unknown", "expired", "key_reused", "unknown_result",
+		"gang done", "gang failed", "gang not_run", "gang unknown", "wait for the gang"} {
 		if seen[what] == 0 {
 			t.Errorf("no run saw %q", what)
 		}
@@ -620,6 +643,9 @@
 	s.runUntil(s.now + 12*time.Second)
 	for _, r := range s.ref.records {
 		seen["end "+string(r.State)]++
+		if r.Spec.isGang() {
+			seen["gang "+string(r.State)]++
+		}
 	}
 	s.runUntil(s.now + 33*time.Second)
 	s.checkEnd()
--- a/partition/record.go
+++ b/partition/record.go
@@ -42,6 +42,11 @@
 	Worker      string     `cbor:"2,keyasint"`
 	Incarnation string     `cbor:"3,keyasint"`
 	End         attemptEnd `cbor:"4,keyasint,omitempty"`
+	// Tasks are the tasks of a gang in order, nil for a single task. Worker and
+	// Incarnation are then those of the first, and End sums them up.
+	Tasks []taskRecord `cbor:"5,keyasint,omitempty"`
+	// Reason is why the first task of a gang ended without being done.
+	Reason string `cbor:"6,keyasint,omitempty"`
 }
 
 // spec is what was accepted; it never changes, also when the tables do.
@@ -60,6 +65,8 @@
 	AcceptedUnixMillis int64          `cbor:"12,keyasint,omitempty"`
 	// Digest is the SHA-256 of kind and body, by which a reused key is recognized.
 	Digest []byte `cbor:"13,keyasint"`
+	// Tasks is the size of a gang; 0 for a request with one task.
+	Tasks int `cbor:"14,keyasint,omitempty"`
 }
 
 // record is the replicated state of one accepted request. It changes only in Apply.
--- a/partition/status.go
+++ b/partition/status.go
@@ -65,6 +65,10 @@
 	if l == nil || r.State.IsOutcome() {
 		return s
 	}
+	if r.Spec.isGang() {
+		o.gangStatus(l, s)
+		return s
+	}
 	for _, a := range l.attempts {
 		switch a.state {
 		case attemptRunning:
--- a/partition/submit.go
+++ b/partition/submit.go
@@ -75,6 +75,9 @@
 		DeadlineMillis: q.DeadlineMillis, NonIdempotent: q.NonIdempotent, Region: e.Region,
 		AcceptedUnixMillis: e.NowUnixMillis, Digest: digest,
 	}
+	if q.Tasks > 1 {
+		s.Tasks = q.Tasks
+	}
 	if s.Team == "" {
 		s.Team = q.Caller
 	}
@@ -125,8 +128,11 @@
 		return badField("key", "must have 1 to %d bytes", maxNameBytes)
 	case len(q.Team) > maxNameBytes:
 		return badField("team", "must have at most %d bytes", maxNameBytes)
-	case q.Tasks < 0 || q.Tasks > 1:
-		return badField("tasks", "requests with %d tasks are not supported", q.Tasks)
+	case q.Tasks < 0 || q.Tasks > maxTasks:
+		return badField("tasks", "%d is out of range, use 0 to %d", q.Tasks, maxTasks)
+	case q.Tasks > 1 && e.Route.Workload != api.WorkloadGang:
+		return badField("tasks", "route %q is not for gangs; use a route with the workload %q, or submit each of the %d tasks under its own key",
+			e.Route.Name, api.WorkloadGang, q.Tasks)
 	case q.Class != "" && classRank[q.Class] == 0:
 		return badField("class", "unknown class %q", q.Class)
 	case q.Class != "" && classRank[q.Class] < classRank[e.Route.Class]:
--- a/partition/sync.go
+++ b/partition/sync.go
@@ -164,7 +164,7 @@
 }
 
 // adopt takes over a running task without a recorded claim, unless the request has been
-// placed again.
+// placed again. A gang's task is taken over only to be stopped.
 func (o *owner) adopt(now time.Duration, w *workerState, id api.TaskID) *attempt {
 	l := o.unclaimed(id)
 	if l == nil || l.number > 0 {
@@ -178,8 +178,14 @@
 		live: l, worker: w, incarnation: w.incarnation, id: id,
 		state: attemptUncertain, expires: o.doubtUntil, halting: l.cancelWanted,
 	}
+	if l.rec.Spec.isGang() {
+		a.halting, a.unclaimed = true, true
+		l.delayed = "the end of tasks that a former owner has started"
+	}
 	o.addAttempt(a)
-	o.proposeClaim(now, a)
+	if !a.unclaimed {
+		o.proposeClaim(now, a)
+	}
 	return a
 }
 
@@ -187,8 +193,8 @@
 // phase of the request, also when that is unknown.
 func (o *owner) adoptEnded(now time.Duration, w *workerState, id api.TaskID) *attempt {
 	l := o.unclaimed(id)
-	if l == nil {
-		return nil
+	if l == nil || l.rec.Spec.isGang() {
+		return nil // one task's end decides nothing about a gang of which no claim is known
 	}
 	if a := o.adopt(now, w, id); a != nil {
 		return a
--- a/partition/worker_model_test.go
+++ b/partition/worker_model_test.go
@@ -51,11 +51,13 @@
 	}
 }
 
-// live reports whether the key is executing now. A paused process does not execute
-// beyond its lease, since it stops the task before anything else.
-func (w *modelWorker) live(k api.RequestKey) bool {
+// conflicts reports whether a start of the task would meet the same task, or a task of
+// another attempt of the same request, that is executing now. A paused process does not
+// execute beyond its lease, since it stops the task before anything else.
+func (w *modelWorker) conflicts(task api.TaskID) bool {
 	for _, id := range w.order {
-		if id.RequestKey == k && w.local() <= w.leaseEnd {
+		if id.RequestKey == task.RequestKey && (id.Attempt != task.Attempt || id.Index == task.Index) &&
+			w.local() <= w.leaseEnd {
 			return true
 		}
 	}
@@ -77,6 +79,7 @@
 	e := end(id, kind, "")
 	if kind == api.EndDone {
 		e = end(id, kind, answerFor(id.Key, d.Body))
+		w.s.done[id] = true
 	}
 	w.ends = append(w.ends, e)
 }
@@ -153,11 +156,22 @@
 	case 1:
 		kind = api.EndStopped
 	}
+	w.finishAfter(w.s.upTo(2500*ms), d.Task, kind)
+}
+
+// finishAfter ends a task that has run for its time. A task of a gang waits for the
+// start of the others, so that a gang which is never whole does not end by itself.
+func (w *modelWorker) finishAfter(run time.Duration, id api.TaskID, kind api.EndKind) {
 	incarnation := w.incarnation
-	w.s.at(w.s.now+w.s.upTo(2500*ms), func() {
+	w.s.at(w.s.now+run, func() {
 		w.run(func() {
-			if w.incarnation == incarnation {
-				w.end(d.Task, kind)
+			switch _, runs := w.running[id]; {
+			case !runs || w.incarnation != incarnation:
+			case w.s.isWhole(id):
+				w.end(id, kind)
+			default:
+				w.s.seen["wait for the gang"]++
+				w.finishAfter(250*ms, id, kind)
 			}
 		})
 	})
