server: refuse a flood at the entry VM; limit calls in flight per caller

Change: the entry VM repeats the owner's refusal for overload (kind, team, class) for the time it gave, at most 1 s, and only to requests that ask for at least as much, no later. Each caller has a tenth of the places, at least 16. Both refusals leave not_run false, since the call may be a resend of an accepted key; a query or cancel by key without a wait always passes.

--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -37,8 +37,15 @@
 		s.refuse(w, err)
 		return
 	}
+	done, ferr := s.flood.admit(s.loop.now(), route.Name, &req)
+	if ferr != nil {
+		s.refuse(w, ferr)
+		return
+	}
+	defer done()
 	wait := time.Duration(req.WaitMillis) * time.Millisecond
 	reply := s.submit(r.Context(), pool.Home, SubmitArgs{Partition: pool.Home, Request: req, Route: route, Region: s.settings.Region}, wait)
+	s.flood.note(s.loop.now(), route.Name, &req, reply.Err)
 	s.answer(w, reply)
 }
 
@@ -126,6 +133,12 @@
 		s.refuse(w, err)
 		return
 	}
+	done, err := s.flood.admitWait(key.Caller, wait)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	defer done()
 	end := time.Now().Add(wait)
 	args := KeyArgs{Partition: home, Key: key, Wait: min(wait, maxRPCWait)}
 	reply := s.forward(r.Context(), home, method, func() any { return args }, args.Wait)
--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,7 @@
 	hints    *leaderHints
 	problems *problemKeeper
 	metrics  *metrics
+	flood    *floodGuard
 	// httpBytes counts the HTTP listener's traffic.
 	httpBytes byteCounter
 	// folder keeps other processes out of the data folder; nil without a disk.
@@ -62,6 +63,7 @@
 	s := &Server{
 		settings: settings, log: log, loop: l,
 		workers: newWorkerCalls(l), hints: newLeaderHints(), problems: newProblemKeeper(log),
+		flood:      newFloodGuard(settings.MaxWaiters),
 		partitions: map[string]*hosted{},
 	}
 	id, err := s.loadIdentity()
