bench/flood: what other work keeps in floods of low and urgent work

Cause: nothing measured a flood through real entry VMs with the account of all requests checked against the workers' journals.

Change: three daemons, 10 workers of 8 slots, tasks of 100 ms; steady load at 60% of capacity, then with tenfold low work, then with tenfold urgent work.

--- /dev/null
+++ b/bench/flood/account.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+// account compares what the callers were told with the journals of the workers, prints
+// both and returns the contradictions.
+func (b *bench) account(phases []phase) ([]string, error) {
+	starts, err := b.startsByKey()
+	if err != nil {
+		return nil, err
+	}
+	violations, err := standin.CheckJournals(nil, b.journals...)
+	if err != nil {
+		return nil, err
+	}
+	counts, reasons := map[string]int{}, map[string]int{}
+	submitted := 0
+	var missed []string
+	for _, p := range phases {
+		for _, r := range p.results {
+			submitted++
+			told := r.told()
+			counts[told]++
+			if r.err != nil {
+				reasons[r.reason()]++
+			}
+			if c := contradiction(told, starts[r.key]); c != "" {
+				missed = append(missed, fmt.Sprintf("%s: %s", r.key, c))
+			}
+		}
+	}
+	fmt.Printf("submitted %d = done %d + failed %d + not_run %d + unknown %d + refused %d; pending %d; keys started %d, more than once %d\n", submitted,
+		counts["done"], counts["failed"], counts["not_run"], counts["unknown"], counts["refused"], counts["pending"], len(starts), repeated(starts))
+	printReasons(reasons)
+	for _, v := range violations {
+		missed = append(missed, v.String())
+	}
+	if counts["pending"] > 0 {
+		missed = append(missed, fmt.Sprintf("%d requests had no outcome at the end", counts["pending"]))
+	}
+	return missed, nil
+}
+
+// repeated counts the keys with more than one start. All work here is idempotent, so a
+// start after a lost worker is allowed; CheckJournals finds starts that overlap.
+func repeated(starts map[api.RequestKey]int) int {
+	n := 0
+	for _, k := range starts {
+		if k > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bench) startsByKey() (map[api.RequestKey]int, error) {
+	starts := map[api.RequestKey]int{}
+	for _, path := range b.journals {
+		events, err := standin.ReadJournal(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range events {
+			if e.Kind == standin.EventStart {
+				starts[e.Task().RequestKey]++
+			}
+		}
+	}
+	return starts, nil
+}
+
+// told is the outcome that the caller knows: a state, "refused" or "pending".
+func (r *result) told() string {
+	switch {
+	case isRefused(r.err):
+		return "refused"
+	case r.err != nil:
+		return string(api.StateUnknown)
+	case r.status.State.IsOutcome():
+		return string(r.status.State)
+	default:
+		return "pending"
+	}
+}
+
+// maxReason shortens messages that differ in their figures only.
+const maxReason = 60
+
+func (r *result) reason() string {
+	text := fmt.Sprintf("%s, not_run=%t: %s", r.err.Code, r.err.NotRun, r.err.Message)
+	return text[:min(len(text), maxReason)]
+}
+
+func printReasons(reasons map[string]int) {
+	var lines []string
+	for reason, n := range reasons {
+		lines = append(lines, fmt.Sprintf("  %7d %s", n, reason))
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(lines)))
+	for _, line := range lines[:min(len(lines), 12)] {
+		fmt.Println(line)
+	}
+}
+
+// contradiction compares what a caller was told with the starts of its key.
+func contradiction(told string, starts int) string {
+	switch {
+	case told == string(api.StateDone) && starts == 0:
+		return "done, but never started"
+	case (told == string(api.StateNotRun) || told == "refused") && starts > 0:
+		return fmt.Sprintf("%s, but started %d times", told, starts)
+	}
+	return ""
+}
--- /dev/null
+++ b/bench/flood/main.go
@@ -0,0 +1,208 @@
+// Command flood measures what other work keeps while one team floods the cluster. It runs
+// three daemons as processes and a fleet of stand-in workers in this process, and submits
+// through all entry VMs: a steady load of several teams, then the same load with a tenfold
+// flood of low work by one team, then with a tenfold flood of urgent work. It prints one
+// table and checks the account of all requests against the journals of the workers. The
+// exit code is 1 when a target is missed.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+	"github.com/oleanderchute/oleanderchute/internal/localcluster"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+// options of one run.
+type options struct {
+	bin     string
+	workers int
+	task    time.Duration // run time of each task
+	window  time.Duration // of one phase
+}
+
+// slots of a worker; a task needs one slot and an eighth of the processors.
+const slots = 8
+
+// capacity is the number of tasks that the fleet can end per second.
+func (o options) capacity() float64 {
+	return float64(o.workers*slots) / o.task.Seconds()
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.bin, "bin", "bin", "folder with the program oleanderchute")
+	flag.IntVar(&o.workers, "workers", 10, "number of workers with 8 slots each")
+	flag.DurationVar(&o.task, "task", 100*time.Millisecond, "run time of a task")
+	flag.DurationVar(&o.window, "window", 8*time.Second, "length of a phase")
+	flag.Parse()
+	missed, err := run(context.Background(), o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "flood:", err)
+		os.Exit(1)
+	}
+	for _, m := range missed {
+		fmt.Println("missed:", m)
+	}
+	if len(missed) > 0 {
+		os.Exit(1)
+	}
+}
+
+// bench is a cluster with its workers and one client for each entry VM.
+type bench struct {
+	*localcluster.Cluster
+	options
+	operator *client.Client
+	entries  []*client.Client
+	workers  []*standin.Worker
+	journals []string
+}
+
+// run measures the phases and returns the missed targets.
+func run(ctx context.Context, o options) ([]string, error) {
+	cluster, err := localcluster.New(o.bin)
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{Cluster: cluster, options: o}
+	defer b.stop()
+	if err := b.prepare(ctx); err != nil {
+		return nil, err
+	}
+	return b.measure(ctx)
+}
+
+// prepare starts the daemons and workers and applies the tables.
+func (b *bench) prepare(ctx context.Context) error {
+	if err := b.StartDaemons(localcluster.ThreePlaces); err != nil {
+		return err
+	}
+	var err error
+	if b.operator, err = client.New(b.Addresses, client.Options{}); err != nil {
+		return err
+	}
+	for _, address := range b.Addresses {
+		// One try, so that each refusal is counted once and its time is that of one call.
+		c, err := client.New([]string{address}, client.Options{MaxTries: 1, CallTimeout: callTimeout})
+		if err != nil {
+			return err
+		}
+		b.entries = append(b.entries, c)
+	}
+	if err := b.awaitServing(ctx); err != nil {
+		return err
+	}
+	if err := b.applyTables(ctx); err != nil {
+		return err
+	}
+	if err := b.startWorkers(); err != nil {
+		return err
+	}
+	if err := b.awaitWorkers(ctx); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+// settle lets the replicas of the partitions reach their places before the first phase.
+const settle = 3 * time.Second
+
+// callTimeout bounds a call apart from the time that it asks the server to wait.
+const callTimeout = 8 * time.Second
+
+func (b *bench) awaitServing(ctx context.Context) error {
+	return await(ctx, "three VMs that may serve", func() bool {
+		st, err := b.operator.Status(ctx)
+		serving := 0
+		for _, vm := range st.VMs {
+			if vm.MayServe {
+				serving++
+			}
+		}
+		return err == nil && serving == len(b.Addresses) && len(st.Partitions) == 2
+	})
+}
+
+func (b *bench) awaitWorkers(ctx context.Context) error {
+	return await(ctx, "ready workers", func() bool {
+		workers, err := b.operator.Workers(ctx)
+		ready := 0
+		for _, w := range workers {
+			if w.State == "ready" {
+				ready++
+			}
+		}
+		return err == nil && ready == b.options.workers
+	})
+}
+
+func (b *bench) applyTables(ctx context.Context) error {
+	answer, err := b.operator.Apply(ctx, api.ApplyRequest{Operator: "flood", Tables: api.Tables{
+		Routes: []api.Route{{Name: kind, Pool: "drafters"}},
+		Pools:  []api.Pool{{Name: "drafters", Home: "north"}},
+	}})
+	if err == nil && !answer.Accepted {
+		err = errors.Errorf("tables refused: %s %v", answer.Reason, answer.Problems)
+	}
+	return err
+}
+
+func (b *bench) startWorkers() error {
+	var urls []string
+	for _, a := range b.Addresses {
+		urls = append(urls, "http://"+a)
+	}
+	for i := range b.options.workers {
+		name := fmt.Sprintf("w%02d", i)
+		journal := filepath.Join(b.Dir, name+".journal")
+		w, err := standin.Start(standin.Config{
+			Worker: name, Pool: "drafters", Rack: fmt.Sprintf("r%d", i/slots), FailureDomain: "n1", Region: "north",
+			Capacity: api.Resources{MilliCPU: slots * 1000, MemoryMB: slots * 1024}, Slots: slots, Connections: 64,
+			Entries: urls, Journal: journal, DefaultRun: b.task, Log: zap.NewNop(),
+		})
+		if err != nil {
+			return err
+		}
+		b.workers, b.journals = append(b.workers, w), append(b.journals, journal)
+	}
+	return nil
+}
+
+func (b *bench) stop() {
+	for _, w := range b.workers {
+		w.Close()
+	}
+	for _, c := range b.entries {
+		c.Close()
+	}
+	if b.operator != nil {
+		b.operator.Close()
+	}
+	b.Stop()
+}
+
+// await polls until the condition holds.
+func await(ctx context.Context, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("not in time: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/flood/measure.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// Targets of the design page.
+const (
+	keptShare  = 0.95
+	urgentWait = 2200 * time.Millisecond
+)
+
+// phase is one measured window.
+type phase struct {
+	name    string
+	results []result
+	skipped map[bool]int
+	cpu     time.Duration // of the owner
+	took    time.Duration
+	// epochs of the owner at the start and the end; a change stops starts for 1 to 2 s.
+	epochs [2]uint64
+}
+
+// measure runs the three phases, prints them and returns the missed targets.
+func (b *bench) measure(ctx context.Context) ([]string, error) {
+	plan := []struct {
+		name  string
+		flood []stream
+	}{
+		{"steady", nil},
+		{"low flood", []stream{b.floodOf(api.ClassLow)}},
+		{"urgent flood", []stream{b.floodOf(api.ClassUrgent)}},
+	}
+	var phases []phase
+	for i, p := range plan {
+		ph, err := b.runPhase(ctx, fmt.Sprintf("p%d", i), append(b.steady(), p.flood...))
+		if err != nil {
+			return nil, err
+		}
+		ph.name = p.name
+		phases = append(phases, ph)
+	}
+	missed := printPhases(phases)
+	accountMissed, err := b.account(phases)
+	return append(missed, accountMissed...), err
+}
+
+func (b *bench) runPhase(ctx context.Context, prefix string, streams []stream) (phase, error) {
+	owner, first, err := b.owner(ctx)
+	if err != nil {
+		return phase{}, err
+	}
+	before, err := processorTime(owner)
+	if err != nil {
+		return phase{}, err
+	}
+	start := time.Now()
+	rec := b.drive(ctx, prefix, streams)
+	took := time.Since(start)
+	after, err := processorTime(owner)
+	if err != nil {
+		return phase{}, err
+	}
+	b.resolve(ctx, rec.results)
+	_, last, err := b.owner(ctx)
+	return phase{
+		results: rec.results, skipped: rec.skipped, cpu: after - before, took: took, epochs: [2]uint64{first, last},
+	}, err
+}
+
+// owner returns the process id and the epoch of the owner of partition north, where the
+// workers are.
+func (b *bench) owner(ctx context.Context) (int, uint64, error) {
+	st, err := b.operator.Status(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, p := range st.Partitions {
+		n, err := strconv.Atoi(strings.TrimPrefix(p.Leader, "vm"))
+		if p.Partition == "north" && err == nil {
+			return b.Daemons[n-1], p.Epoch, nil
+		}
+	}
+	return 0, 0, errors.New("partition north has no owner")
+}
+
+// clockTicks is the unit of processor time in /proc, ticks per second on Linux.
+const clockTicks = 100
+
+func processorTime(pid int) (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	// The fields after the program's name in parentheses start with the third.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks, errors.WithStack(err)
+}
+
+// figures of one phase. Waits are those of accepted requests, from acceptance to the first
+// dispatch; the time of a refusal is that of the whole call.
+type figures struct {
+	otherDone, otherDue  int
+	others, urgentOthers []time.Duration // waits
+	urgentNotDone        int
+	floodDone, floodSent int
+	refused              []time.Duration
+	othersRefused        int
+	// byStream counts what the callers of each team and class were told.
+	byStream map[string]map[string]int
+}
+
+func (p *phase) figures() figures {
+	f := figures{otherDue: p.skipped[false], byStream: map[string]map[string]int{}}
+	for _, r := range p.results {
+		f.count(r)
+		if isRefused(r.err) {
+			f.refused = append(f.refused, r.took)
+		}
+		if r.stream.flood {
+			f.addFlood(r)
+		} else {
+			f.addOther(r)
+		}
+	}
+	return f
+}
+
+func (f *figures) count(r result) {
+	name := r.stream.team + " " + string(r.stream.class)
+	if f.byStream[name] == nil {
+		f.byStream[name] = map[string]int{}
+	}
+	f.byStream[name][r.told()]++
+}
+
+func (f *figures) addFlood(r result) {
+	f.floodSent++
+	if r.status.State == api.StateDone {
+		f.floodDone++
+	}
+}
+
+func (f *figures) addOther(r result) {
+	f.otherDue++
+	urgent := r.stream.class == api.ClassUrgent
+	if isRefused(r.err) {
+		f.othersRefused++
+	}
+	if r.status.State != api.StateDone {
+		if urgent {
+			f.urgentNotDone++
+		}
+		return
+	}
+	f.otherDone++
+	wait := time.Duration(r.status.WaitedMillis) * time.Millisecond
+	f.others = append(f.others, wait)
+	if urgent {
+		f.urgentOthers = append(f.urgentOthers, wait)
+	}
+}
+
+func printPhases(phases []phase) []string {
+	var missed []string
+	base := phases[0].figures()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "phase\tothers done/due\tkept\tmedian\tp99\turgent p99\tmax\turgent not done\trefused (others)\tmedian time\tflood done/sent\tflood unsent\towner cpu %\tepochs\t")
+	for _, p := range phases {
+		f := p.figures()
+		kept := float64(f.otherDone) / float64(max(base.otherDone, 1))
+		fmt.Fprintf(w, "%s\t%d/%d\t%.3f\t%v\t%v\t%v\t%v\t%d\t%d (%d)\t%v\t%d/%d\t%d\t%.0f\t%v\t\n", p.name, f.otherDone, f.otherDue, kept,
+			quantile(f.others, 0.5), quantile(f.others, 0.99), quantile(f.urgentOthers, 0.99), quantile(f.urgentOthers, 1), f.urgentNotDone,
+			len(f.refused), f.othersRefused, quantile(f.refused, 0.5).Round(10*time.Microsecond), f.floodDone, f.floodSent, p.skipped[true],
+			100*p.cpu.Seconds()/p.took.Seconds(), p.epochs)
+		missed = append(missed, f.missed(p.name, kept)...)
+	}
+	w.Flush()
+	for _, p := range phases {
+		fmt.Printf("%s: %v\n", p.name, p.figures().byStream)
+	}
+	return missed
+}
+
+// missed compares one phase with the targets.
+func (f *figures) missed(name string, kept float64) []string {
+	var out []string
+	if kept < keptShare {
+		out = append(out, fmt.Sprintf("%s: other work keeps %.3f, at least %.2f is owed", name, kept, keptShare))
+	}
+	if worst := quantile(f.urgentOthers, 1); worst > urgentWait {
+		out = append(out, fmt.Sprintf("%s: urgent work of others waits up to %v, at most %v is allowed", name, worst, urgentWait))
+	}
+	if f.urgentNotDone > 0 {
+		out = append(out, fmt.Sprintf("%s: %d urgent requests of others were not done", name, f.urgentNotDone))
+	}
+	return out
+}
+
+// quantile returns the q-quantile, or 0 without values. It sorts the values.
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[int(q*float64(len(values)-1))]
+}
