server: one request each 10 ms goes to the owner despite a remembered refusal

Change: while a refusal is remembered, one request each 10 ms is still forwarded.

TestRefusalMemoryProbes fails without probes and with a probe for each request. go test -race -count=1 ./server passes in 6.5 s.

--- a/server/flood.go
+++ b/server/flood.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -13,6 +14,12 @@
 // capacity freed meanwhile is not hidden for longer.
 const maxRefusalAge = time.Second
 
+// probeInterval is how often one request goes to the owner in spite of a remembered
+// refusal. Without it a single refusal of a team near its share would refuse all its work
+// here for up to maxRefusalAge: bench/flood showed 266 refused requests of a team with
+// 48 requests/s on each VM.
+const probeInterval = 10 * time.Millisecond
+
 // maxRefusals bounds the remembered refusals: 100 teams with three classes of a few kinds.
 const maxRefusals = 1024
 
@@ -32,13 +39,13 @@
 // memory saves. A call by key without a wait is never refused here, so that a caller can
 // always find out about an earlier copy.
 type floodGuard struct {
-	refusals *lru.Cache[refusalKey, refusal]
+	refusals *lru.Cache[refusalKey, *refusal]
 	calls    callerCalls
 }
 
 // newFloodGuard sizes the guard for a VM with the given number of waiting places.
 func newFloodGuard(maxWaiters int) *floodGuard {
-	cache, err := lru.New[refusalKey, refusal](maxRefusals)
+	cache, err := lru.New[refusalKey, *refusal](maxRefusals)
 	if err != nil {
 		panic(err) // only a size below 1 is refused
 	}
@@ -54,13 +61,21 @@
 	hasDeadline bool
 }
 
-// refusal is the owner's answer to one request and what that request asked for.
+// refusal is the owner's answer to one request and what that request asked for. Only
+// nextProbe changes after it was remembered.
 type refusal struct {
 	message        string
 	until          time.Duration // since the loop's origin
 	demand         api.Resources
 	tasks          int
 	deadlineMillis int64
+	nextProbe      atomic.Int64 // time.Duration since the loop's origin
+}
+
+// takeProbe reports whether the request is the one that goes to the owner now.
+func (f *refusal) takeProbe(now time.Duration) bool {
+	next := f.nextProbe.Load()
+	return int64(now) >= next && f.nextProbe.CompareAndSwap(next, int64(now+probeInterval))
 }
 
 func keyOfRefusal(kind string, r *api.SubmitRequest) refusalKey {
@@ -81,17 +96,20 @@
 	}
 	// Comparing in milliseconds first keeps an absurd value from overflowing.
 	age := time.Duration(min(err.RetryAfterMillis, maxRefusalAge.Milliseconds())) * time.Millisecond
-	g.refusals.Add(keyOfRefusal(kind, r), refusal{
+	f := &refusal{
 		message: err.Message, until: now + age,
 		demand: r.Resources, tasks: r.Tasks, deadlineMillis: r.DeadlineMillis,
-	})
+	}
+	f.nextProbe.Store(int64(now + probeInterval))
+	g.refusals.Add(keyOfRefusal(kind, r), f)
 }
 
-// remembered returns the refusal that holds for a request, or nil. RetryAfterMillis is the
+// remembered returns the refusal that holds for a request, or nil if the request goes to
+// the owner, as one request each probeInterval does. RetryAfterMillis is the
 // time left, at least 1.
 func (g *floodGuard) remembered(now time.Duration, kind string, r *api.SubmitRequest) *api.Error {
 	f, ok := g.refusals.Get(keyOfRefusal(kind, r))
-	if !ok || now >= f.until || !f.coversRequest(r) {
+	if !ok || now >= f.until || !f.coversRequest(r) || f.takeProbe(now) {
 		return nil
 	}
 	err := api.Errorf(api.CodeOverloaded, "this copy was not forwarded: the owner refused the same kind of work a moment ago (%s); if an earlier copy was sent, ask by key", f.message)
--- a/server/flood_test.go
+++ b/server/flood_test.go
@@ -64,6 +64,7 @@
 		qt.New(t).Run(test.name, func(c *qt.C) {
 			g := newFloodGuard(100)
 			g.note(noted, "drafting", floodRequest(nil), test.answer)
+			_ = g.remembered(noted+test.after, test.kind, floodRequest(test.change)) // takes the probe if one is due
 			err := g.remembered(noted+test.after, test.kind, floodRequest(test.change))
 			if test.left == 0 {
 				c.Assert(err == nil, qt.IsTrue)
@@ -77,6 +78,21 @@
 	}
 }
 
+// Guards against one refusal that stops all work of a team for as long as it is remembered,
+// and against probes so frequent that the owner is asked for each request.
+func TestRefusalMemoryProbes(t *testing.T) {
+	c := qt.New(t)
+	g := newFloodGuard(100)
+	g.note(0, "drafting", floodRequest(nil), &api.Error{Code: api.CodeOverloaded, RetryAfterMillis: 1000})
+	asked := 0
+	for now := time.Duration(0); now < 500*time.Millisecond; now += time.Millisecond {
+		if g.remembered(now, "drafting", floodRequest(nil)) == nil {
+			asked++
+		}
+	}
+	c.Assert(asked, qt.Equals, int(500*time.Millisecond/probeInterval)-1)
+}
+
 // Guards against a memory that grows with the number of teams.
 func TestRefusalMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
