bench/flood: refusals by the entry VM and by the owner apart, per stream

Cause: the cause of a miss could not be read from one sum of refusals.

Change: the table is followed by one line a phase with the outcomes of each team and class; the comment keeps the reason without the figure.

--- a/bench/flood/measure.go
+++ b/bench/flood/measure.go
@@ -122,7 +122,8 @@
 	floodDone, floodSent int
 	refused              []time.Duration
 	othersRefused        int
-	// byStream counts what the callers of each team and class were told.
+	// byStream counts what the callers of each team and class were told, with refusals
+	// by the entry VM itself (not_run false) apart from those by the owner.
 	byStream map[string]map[string]int
 }
 
@@ -147,7 +148,11 @@
 	if f.byStream[name] == nil {
 		f.byStream[name] = map[string]int{}
 	}
-	f.byStream[name][r.told()]++
+	told := r.told()
+	if isRefused(r.err) && !r.err.NotRun {
+		told = "refused at entry"
+	}
+	f.byStream[name][told]++
 }
 
 func (f *figures) addFlood(r result) {
@@ -193,7 +198,13 @@
 	}
 	w.Flush()
 	for _, p := range phases {
-		fmt.Printf("%s: %v\n", p.name, p.figures().byStream)
+		done := 0
+		for _, r := range p.results {
+			if r.status.State == api.StateDone {
+				done++
+			}
+		}
+		fmt.Printf("%s: %d done in all: %v\n", p.name, done, p.figures().byStream)
 	}
 	return missed
 }
--- a/server/flood.go
+++ b/server/flood.go
@@ -16,8 +16,7 @@
 
 // probeInterval is how often one request goes to the owner in spite of a remembered
 // refusal. Without it a single refusal of a team near its share would refuse all its work
-// here for up to maxRefusalAge: bench/flood showed 266 refused requests of a team with
-// 48 requests/s on each VM.
+// here for up to maxRefusalAge.
 const probeInterval = 10 * time.Millisecond
 
 // maxRefusals bounds the remembered refusals: 100 teams with three classes of a few kinds.
