--- a/api/error.go
+++ b/api/error.go
@@ -27,7 +27,9 @@
 	Message string    `json:"message"`
 	Field   string    `json:"field,omitempty"`
 	Nearest string    `json:"nearest,omitempty"`
-	// NotRun is true when the refused work certainly did not and will not run.
+	// NotRun is true when the owner of the key has no record of it and refused it, so the
+	// work did not and will not run. An entry VM that refuses a call before it asks the
+	// owner leaves it false, since an earlier copy of the request may have been accepted.
 	NotRun bool `json:"not_run,omitempty"`
 	// RetryAfterMillis is when a resend makes sense, in milliseconds from now.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
--- a/server/forward.go
+++ b/server/forward.go
@@ -33,7 +33,6 @@
 		return StatusReply{Err: api.Errorf(api.CodeUnknownResult, "the owner of partition %s stopped answering; ask again by key", home)}
 	}
 	err := api.Errorf(api.CodeUnavailable, "partition %s has no owner at the moment; nothing was accepted", home)
-	err.NotRun = true
 	err.RetryAfterMillis = forwardFor.Milliseconds()
 	return StatusReply{Err: err}
 }
--- a/server/http.go
+++ b/server/http.go
@@ -79,8 +79,7 @@
 			defer func() { <-slots }()
 			next.ServeHTTP(w, r)
 		default:
-			err := api.Errorf(api.CodeOverloaded, "too many calls in flight on this VM; nothing was accepted")
-			err.NotRun = r.Method == http.MethodPost
+			err := api.Errorf(api.CodeOverloaded, "too many calls in flight on this VM; this copy was not forwarded")
 			err.RetryAfterMillis = 1000
 			s.refuse(w, err)
 		}
--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -11,39 +11,48 @@
 
 // handleSubmit serves POST /v1/requests.
 func (s *Server) handleSubmit(w http.ResponseWriter, r *http.Request) {
-	var req api.SubmitRequest
-	if err := decodeJSON(r.Body, &req); err != nil {
-		err.NotRun = true
+	args, err := s.readSubmit(r)
+	if err != nil {
 		s.refuse(w, err)
 		return
 	}
-	if err := validateSubmit(&req); err != nil {
+	done, err := s.flood.admit(s.loop.now(), args.Route.Name, &args.Request)
+	if err != nil {
 		s.refuse(w, err)
 		return
 	}
-	if err := s.checkServing(); err != nil {
-		s.refuse(w, err)
-		return
+	defer done()
+	wait := time.Duration(args.Request.WaitMillis) * time.Millisecond
+	reply := s.submit(r.Context(), args, wait)
+	s.flood.note(s.loop.now(), args.Route.Name, &args.Request, reply.Err)
+	s.answer(w, s.sloSubmitted(args.Request, reply))
+}
+
+// readSubmit checks a request and finds its route and partition.
+func (s *Server) readSubmit(r *http.Request) (SubmitArgs, *api.Error) {
+	args := SubmitArgs{Region: s.settings.Region}
+	if err := decodeJSON(r.Body, &args.Request); err != nil {
+		return args, err
 	}
-	v := s.view.Load()
-	route, pool, rerr := v.resolver.Resolve(req.Kind)
-	if rerr != nil {
-		rerr.NotRun = true
-		s.problems.unknownKind(req.Kind, req.Caller, v.resolver)
-		s.refuse(w, rerr)
-		return
+	if err := validateSubmit(&args.Request); err != nil {
+		return args, err
 	}
-	if err := checkRouteClass(route, req.Class); err != nil {
-		s.refuse(w, err)
-		return
+	if err := s.checkServing(); err != nil {
+		return args, err
+	}
+	resolver := s.view.Load().resolver
+	route, pool, err := resolver.Resolve(args.Request.Kind)
+	if err != nil {
+		s.problems.unknownKind(args.Request.Kind, args.Request.Caller, resolver)
+		return args, err
 	}
-	wait := time.Duration(req.WaitMillis) * time.Millisecond
-	reply := s.submit(r.Context(), pool.Home, SubmitArgs{Partition: pool.Home, Request: req, Route: route, Region: s.settings.Region}, wait)
-	s.answer(w, s.sloSubmitted(req, reply))
+	args.Route, args.Partition = route, pool.Home
+	return args, checkRouteClass(route, args.Request.Class)
 }
 
 // submit forwards the request and then waits for an outcome until wait is over.
-func (s *Server) submit(ctx context.Context, home string, args SubmitArgs, wait time.Duration) StatusReply {
+func (s *Server) submit(ctx context.Context, args SubmitArgs, wait time.Duration) StatusReply {
+	home := args.Partition
 	end := time.Now().Add(wait)
 	args.Wait = min(wait, maxRPCWait)
 	reply := s.forward(ctx, home, servicePartition+".Submit", func() any { return args }, args.Wait)
@@ -126,6 +135,12 @@
 		s.refuse(w, err)
 		return
 	}
+	done, err := s.flood.admitWait(key.Caller, wait)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	defer done()
 	end := time.Now().Add(wait)
 	args := KeyArgs{Partition: home, Key: key, Wait: min(wait, maxRPCWait)}
 	reply := s.forward(r.Context(), home, method, func() any { return args }, args.Wait)
@@ -167,7 +182,6 @@
 	if s.draining.Load() {
 		err.Message = "this VM is shutting down; nothing was accepted, try another VM"
 	}
-	err.NotRun = true
 	err.RetryAfterMillis = 1000
 	return err
 }
--- a/server/server.go
+++ b/server/server.go
@@ -35,6 +35,7 @@
 	problems *problemKeeper
 	metrics  *metrics
 	slo      *sloKeeper
+	flood    *floodGuard
 	// httpBytes counts the HTTP listener's traffic.
 	httpBytes byteCounter
 	// folder keeps other processes out of the data folder; nil without a disk.
@@ -63,6 +64,7 @@
 	s := &Server{
 		settings: settings, log: log, loop: l,
 		workers: newWorkerCalls(l), hints: newLeaderHints(), problems: newProblemKeeper(log),
+		flood:      newFloodGuard(settings.MaxWaiters),
 		partitions: map[string]*hosted{},
 	}
 	id, err := s.loadIdentity()
--- a/server/validate.go
+++ b/server/validate.go
@@ -19,13 +19,13 @@
 )
 
 func fieldError(field, format string, args ...any) *api.Error {
-	return &api.Error{Code: api.CodeBadRequest, Field: field, Message: fmt.Sprintf(format, args...), NotRun: true}
+	return &api.Error{Code: api.CodeBadRequest, Field: field, Message: fmt.Sprintf(format, args...)}
 }
 
 // validateSubmit checks a request before it leaves the entry VM.
 func validateSubmit(r *api.SubmitRequest) *api.Error {
 	if len(r.Body) > api.MaxBodyBytes {
-		return &api.Error{Code: api.CodeTooLarge, Field: "body", NotRun: true,
+		return &api.Error{Code: api.CodeTooLarge, Field: "body",
 			Message: fmt.Sprintf("%d bytes, at most %d are allowed", len(r.Body), api.MaxBodyBytes)}
 	}
 	names := []struct{ field, value string }{{"caller", r.Caller}, {"key", r.Key}, {"kind", r.Kind}}
