--- a/server/settings.go
+++ b/server/settings.go
@@ -18,6 +18,7 @@
 	HTTPAddress   string            `name:"http-address" default:"127.0.0.1:8080" env:"OLEANDER_HTTP_ADDRESS" help:"IP address and port for callers, workers and operators."`
 	PeerAddress   string            `name:"peer-address" default:"127.0.0.1:7080" env:"OLEANDER_PEER_ADDRESS" help:"IP address and port for the other VMs."`
 	Peers         map[string]string `env:"OLEANDER_PEERS" mapsep:"," help:"Peer addresses of the other VMs, as vm1=10.0.0.1:7080,vm2=10.0.0.2:7080."`
+	PinPeers      bool              `name:"pin-peers" env:"OLEANDER_PIN_PEERS" help:"Reach the VMs in --peers at the address given there, even if they have published another, as behind address translation."`
 	DataDir       string            `name:"data-dir" env:"OLEANDER_DATA_DIR" help:"Data folder; empty for a VM without a disk."`
 	Bootstrap     bool              `env:"OLEANDER_BOOTSTRAP" help:"Create the cluster if no peer knows of one. Set it on exactly one VM."`
 	LogLevel      string            `name:"log-level" default:"info" enum:"debug,info,warn,error" env:"OLEANDER_LOG_LEVEL" help:"Least severe log level: debug, info, warn or error."`
--- a/server/view.go
+++ b/server/view.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -31,11 +32,11 @@
 			v.partitions[p.Name] = append(v.partitions[p.Name], r.VM)
 		}
 	}
-	for vm, address := range s.settings.Peers {
-		v.addresses[vm] = address
-	}
+	maps.Copy(v.addresses, s.settings.Peers)
 	for _, vm := range v.vms {
-		v.addresses[vm.Name] = vm.PeerAddress
+		if !s.settings.PinPeers || s.settings.Peers[vm.Name] == "" {
+			v.addresses[vm.Name] = vm.PeerAddress
+		}
 	}
 	v.addresses[s.settings.VM] = s.settings.PeerAddress
 	return v
