integration: harness, requests end to end, killed daemons

Three daemons and three stand-in workers run as processes; each hop goes through a toxiproxy proxy in the test process. A toxic of the tests silences present connections while new ones pass, which the timeout toxic cannot do.

--- /dev/null
+++ b/integration/account_test.go
@@ -0,0 +1,201 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+// ledger records what callers were told of each request. It is safe for concurrent use.
+type ledger struct {
+	mu      sync.Mutex
+	entries map[api.RequestKey]*ledgerEntry // guarded by mu
+}
+
+type ledgerEntry struct {
+	request api.SubmitRequest
+	want    []byte // the expected answer; nil for a request that fails
+	// first is the first outcome that a caller was told, or the last accepted state.
+	first api.RequestStatus
+	took  time.Duration
+	err   error
+}
+
+func newLedger() *ledger { return &ledger{entries: map[api.RequestKey]*ledgerEntry{}} }
+
+func (l *ledger) add(r api.SubmitRequest, want []byte) *ledgerEntry {
+	e := &ledgerEntry{request: r, want: want}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[api.RequestKey{Caller: r.Caller, Key: r.Key}] = e
+	return e
+}
+
+func (l *ledger) told(e *ledgerEntry, st api.RequestStatus, took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.first, e.took, e.err = st, took, err
+}
+
+func (l *ledger) snapshot() map[api.RequestKey]*ledgerEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[api.RequestKey]*ledgerEntry{}
+	for k, e := range l.entries {
+		out[k] = e
+	}
+	return out
+}
+
+// account is the number of requests by outcome.
+type account struct {
+	submitted, done, failed, notRun, unknown int
+	retold                                   int // told an error or no outcome at first
+}
+
+func (a account) String() string {
+	return fmt.Sprintf("submitted=%d done=%d failed=%d not_run=%d unknown=%d (asked again: %d)",
+		a.submitted, a.done, a.failed, a.notRun, a.unknown, a.retold)
+}
+
+// settleBound covers an election, the end of a lost owner's task leases, and a further
+// attempt.
+const settleBound = 20 * time.Second
+
+// settle asks for every request until it has an outcome, compares the outcomes with the
+// journals, logs the account as one line and returns it.
+func (cl *cluster) settle(l *ledger) account {
+	cl.c.Helper()
+	var a account
+	outcomes := cl.outcomes(l)
+	for key, e := range l.snapshot() {
+		a.submitted++
+		if e.err != nil || !e.first.State.IsOutcome() {
+			a.retold++
+		}
+		st := outcomes[key]
+		cl.checkAgainstFirst(key, e, st)
+		switch st.State {
+		case api.StateDone:
+			a.done++
+			cl.c.Check(bytes.Equal(st.Answer, e.want), qt.IsTrue, qt.Commentf("%s has the answer of another request (%d bytes, want %d)", key, len(st.Answer), len(e.want)))
+		case api.StateFailed:
+			a.failed++
+		case api.StateNotRun:
+			a.notRun++
+		case api.StateUnknown:
+			a.unknown++
+		default:
+			cl.c.Errorf("%s has no outcome: %q %s", key, st.State, st.Reason)
+		}
+	}
+	cl.checkJournals(l, outcomes)
+	cl.c.Logf("account: %s", a)
+	cl.c.Check(a.submitted, qt.Equals, a.done+a.failed+a.notRun+a.unknown)
+	return a
+}
+
+// outcomes asks for each request by key; one that was never accepted is sent again with
+// the same key, as its caller would.
+func (cl *cluster) outcomes(l *ledger) map[api.RequestKey]api.RequestStatus {
+	cl.c.Helper()
+	var mu sync.Mutex
+	out := map[api.RequestKey]api.RequestStatus{}
+	ctx := within(cl.c, settleBound)
+	api0 := cl.caller(1)
+	work := make(chan *ledgerEntry)
+	var asks []func()
+	for range 16 {
+		asks = append(asks, func() {
+			for e := range work {
+				st := askUntilOutcome(ctx, cl, api0.Outcome, api0.Submit, e)
+				mu.Lock()
+				out[api.RequestKey{Caller: e.request.Caller, Key: e.request.Key}] = st
+				mu.Unlock()
+			}
+		})
+	}
+	asks = append(asks, func() {
+		for _, e := range l.snapshot() {
+			work <- e
+		}
+		close(work)
+	})
+	group(asks...)
+	return out
+}
+
+type (
+	outcomeFunc = func(context.Context, api.RequestKey, string, time.Duration) (api.RequestStatus, error)
+	submitFunc  = func(context.Context, api.SubmitRequest) (api.RequestStatus, error)
+)
+
+func askUntilOutcome(ctx context.Context, cl *cluster, outcome outcomeFunc, submit submitFunc, e *ledgerEntry) api.RequestStatus {
+	key := api.RequestKey{Caller: e.request.Caller, Key: e.request.Key}
+	for ctx.Err() == nil {
+		st, err := outcome(ctx, key, e.request.Kind, 2*time.Second)
+		if apiErr, ok := err.(*api.Error); ok && apiErr.Code == api.CodeNotFound {
+			if e.err == nil {
+				cl.c.Errorf("%s was accepted in state %s and is not known any more", key, e.first.State)
+				return api.RequestStatus{}
+			}
+			st, err = submit(ctx, e.request)
+		}
+		if err == nil && st.State.IsOutcome() {
+			return st
+		}
+	}
+	return api.RequestStatus{Reason: "no outcome within the bound"}
+}
+
+// checkAgainstFirst checks that an outcome never changes, except that unknown may be
+// resolved.
+func (cl *cluster) checkAgainstFirst(key api.RequestKey, e *ledgerEntry, st api.RequestStatus) {
+	if e.err == nil && e.first.State.IsFinal() {
+		cl.c.Check(st.State, qt.Equals, e.first.State, qt.Commentf("%s changed its outcome", key))
+	}
+}
+
+// checkJournals compares the outcomes with what the workers did.
+func (cl *cluster) checkJournals(l *ledger, outcomes map[api.RequestKey]api.RequestStatus) {
+	cl.c.Helper()
+	nonIdempotent := map[api.RequestKey]bool{}
+	for key, e := range l.snapshot() {
+		if e.request.NonIdempotent {
+			nonIdempotent[key] = true
+		}
+	}
+	var paths []string
+	started, ended := map[api.RequestKey]int{}, map[api.RequestKey]int{}
+	for _, w := range cl.workers {
+		paths = append(paths, w.journal)
+		for _, e := range w.starts() {
+			started[e.Task().RequestKey]++
+		}
+		for _, e := range w.events(standin.EventEnd) {
+			ended[e.Task().RequestKey]++
+		}
+	}
+	violations, err := standin.CheckJournals(nonIdempotent, paths...)
+	cl.c.Assert(err, qt.IsNil)
+	for _, v := range violations {
+		cl.c.Errorf("journals: %s", v)
+	}
+	for key, st := range outcomes {
+		switch {
+		case st.State == api.StateNotRun && started[key] > 0:
+			cl.c.Errorf("%s is reported as not run (%s) and was started %d times", key, st.Reason, started[key])
+		case st.State == api.StateDone && ended[key] == 0:
+			cl.c.Errorf("%s is reported as done and no journal shows its end", key)
+		case st.State == api.StateFailed && started[key] == 0:
+			cl.c.Errorf("%s is reported as failed (%s) and was never started", key, st.Reason)
+		}
+	}
+}
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,270 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// Bounds that follow from the design page.
+const (
+	// formationBound covers the start of three processes, two joins and promotions.
+	formationBound = 20 * time.Second
+	// configLease is how long a VM may act on unconfirmed tables (3.3).
+	configLease = 5 * time.Second
+	// heartbeat is the interval of the leader's messages (4.1).
+	heartbeat = 50 * time.Millisecond
+	// spreadBound is the promise for a change with all VMs connected (G8).
+	spreadBound = 3 * time.Second
+	// electionBound is the time without a leader (5).
+	electionBound = 2 * time.Second
+	// callBound is the deadline of a call between VMs and to workers (4.4).
+	callBound = time.Second
+	// silenceBound is the time until a silent connection is found (4.4).
+	silenceBound = 1500 * time.Millisecond
+	// leaseLength is L of 3.5.
+	leaseLength = 2 * time.Second
+	// drainTimeout of the daemons under test.
+	drainTimeout = 8 * time.Second
+)
+
+const (
+	kindNorth = "draft-guarantee"
+	kindSouth = "timing-plan"
+	poolNorth = "drafters"
+	poolSouth = "planners"
+)
+
+// vm is one daemon with its addresses.
+type vm struct {
+	*process
+	region, domain string
+	web, peer      string
+	dataDir        string
+	// entry is the hop from callers, announce the one from workers.
+	entry, announce *hop
+	// admin talks to the VM without a proxy.
+	admin *client.Client
+}
+
+// cluster is three daemons in three failure domains and two regions.
+type cluster struct {
+	c       *qt.C
+	dir     string
+	vms     []*vm
+	links   map[[2]string]*hop // by the names of the calling and the called VM
+	workers []*worker
+}
+
+var places = []struct{ region, domain string }{{"north", "n1"}, {"north", "n2"}, {"south", "s1"}}
+
+// newCluster starts the daemons and waits until each may serve.
+func newCluster(c *qt.C) *cluster {
+	cl := &cluster{c: c, dir: c.TempDir(), links: map[[2]string]*hop{}}
+	for i, place := range places {
+		host, name := fmt.Sprintf("127.0.0.%d", i+1), fmt.Sprintf("vm%d", i+1)
+		v := &vm{region: place.region, domain: place.domain, web: freeAddress(c, host), peer: freeAddress(c, host)}
+		v.dataDir = filepath.Join(cl.dir, name)
+		v.process = newProcess(c, cl.dir, "oleanderchute", name, nil)
+		v.entry, v.announce = newHop(c, "entry-"+name, v.web), newHop(c, "announce-"+name, v.web)
+		cl.vms = append(cl.vms, v)
+		v.admin = cl.client(1, v.web)
+	}
+	for i, v := range cl.vms {
+		v.args = cl.daemonArgs(v)
+		if i == 0 {
+			v.args = append(v.args, "--bootstrap")
+		}
+		v.start()
+	}
+	cl.awaitFormed(formationBound)
+	return cl
+}
+
+func (cl *cluster) daemonArgs(v *vm) []string {
+	var peers []string
+	for _, other := range cl.vms {
+		if other != v {
+			h := newHop(cl.c, v.name+"-"+other.name, other.peer)
+			cl.links[[2]string{v.name, other.name}] = h
+			peers = append(peers, other.name+"="+h.address)
+		}
+	}
+	return []string{
+		"serve", "--vm=" + v.name, "--region=" + v.region, "--failure-domain=" + v.domain,
+		"--http-address=" + v.web, "--peer-address=" + v.peer, "--peers=" + strings.Join(peers, ","), "--pin-peers",
+		"--data-dir=" + v.dataDir, "--drain-timeout=" + drainTimeout.String(),
+	}
+}
+
+// client returns a client for the addresses whose calls are short, so that an operator's
+// call to a VM that is gone does not hold up the test.
+func (cl *cluster) client(tries int, addresses ...string) *client.Client {
+	api, err := client.New(addresses, client.Options{MaxTries: tries, CallTimeout: 5 * time.Second, Seed: 1})
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Cleanup(api.Close)
+	return api
+}
+
+// caller returns a client through the callers' proxies that starts at the given VM.
+func (cl *cluster) caller(first int) *client.Client {
+	var addresses []string
+	for i := range cl.vms {
+		addresses = append(addresses, cl.vms[(first+i)%len(cl.vms)].entry.address)
+	}
+	api, err := client.New(addresses, client.Options{Seed: uint64(first + 1)})
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Cleanup(api.Close)
+	return api
+}
+
+// operator returns a client that tries all VMs directly.
+func (cl *cluster) operator() *client.Client {
+	return cl.client(24, cl.vms[0].web, cl.vms[1].web, cl.vms[2].web)
+}
+
+// awaitFormed waits until all VMs vote and may serve and each partition has an owner.
+func (cl *cluster) awaitFormed(bound time.Duration) time.Duration {
+	cl.c.Helper()
+	return waitFor(cl.c, "three voters that may serve and two partitions with owners", bound, cl.isFormed)
+}
+
+func (cl *cluster) isFormed() bool {
+	for _, v := range cl.vms {
+		st, err := v.status()
+		if err != nil || len(st.VMs) != len(cl.vms) || len(st.Partitions) != 2 {
+			return false
+		}
+		for _, other := range st.VMs {
+			if !other.MayServe || (other.Role != "leader" && other.Role != "voter") {
+				return false
+			}
+		}
+		for _, p := range st.Partitions {
+			if p.Leader == "" || len(p.Replicas) != len(cl.vms) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (v *vm) status() (api.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return v.admin.Status(ctx)
+}
+
+// self returns what the VM says of itself.
+func (v *vm) self() (api.VMStatus, bool) {
+	st, err := v.status()
+	if err != nil {
+		return api.VMStatus{}, false
+	}
+	for _, s := range st.VMs {
+		if s.VM == v.name {
+			return s, true
+		}
+	}
+	return api.VMStatus{}, false
+}
+
+func (cl *cluster) vm(name string) *vm {
+	i := sort.Search(len(cl.vms), func(i int) bool { return cl.vms[i].name >= name })
+	cl.c.Assert(i < len(cl.vms) && cl.vms[i].name == name, qt.IsTrue, qt.Commentf("no VM %q", name))
+	return cl.vms[i]
+}
+
+// partitionLeader returns the VM that owns the partition as any VM sees it.
+func (cl *cluster) partitionLeader(name string) *vm {
+	cl.c.Helper()
+	leader := ""
+	waitFor(cl.c, "an owner of partition "+name, 3*electionBound, func() bool {
+		for _, v := range cl.vms {
+			st, err := v.status()
+			if err != nil {
+				continue
+			}
+			for _, p := range st.Partitions {
+				if p.Partition == name && p.Leader != "" {
+					leader = p.Leader
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return cl.vm(leader)
+}
+
+// controlLeader returns the leader of the control group.
+func (cl *cluster) controlLeader() *vm {
+	cl.c.Helper()
+	leader := ""
+	waitFor(cl.c, "a control leader", 3*electionBound, func() bool {
+		for _, v := range cl.vms {
+			if s, ok := v.self(); ok && s.Role == "leader" {
+				leader = v.name
+				return true
+			}
+		}
+		return false
+	})
+	return cl.vm(leader)
+}
+
+// between returns the hops between two sets of VMs, in both directions.
+func (cl *cluster) between(a, b []*vm) []*hop {
+	var out []*hop
+	for _, x := range a {
+		for _, y := range b {
+			out = append(out, cl.links[[2]string{x.name, y.name}], cl.links[[2]string{y.name, x.name}])
+		}
+	}
+	return out
+}
+
+// tables returns the tables of the tests with a further route for each extra name.
+func tables(extra ...string) api.Tables {
+	t := api.Tables{
+		Routes: []api.Route{{Name: kindNorth, Pool: poolNorth}, {Name: kindSouth, Pool: poolSouth}},
+		Pools:  []api.Pool{{Name: poolNorth, Home: "north"}, {Name: poolSouth, Home: "south"}},
+	}
+	for _, name := range extra {
+		t.Routes = append(t.Routes, api.Route{Name: name, Pool: poolNorth})
+	}
+	return t
+}
+
+// apply replaces the tables and returns the new version.
+func (cl *cluster) apply(t api.Tables, base uint64) uint64 {
+	cl.c.Helper()
+	answer, err := cl.operator().Apply(within(cl.c, 20*time.Second), api.ApplyRequest{Operator: "test", BaseVersion: base, Tables: t})
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(answer.Accepted, qt.IsTrue, qt.Commentf("%+v", answer))
+	return answer.Version
+}
+
+// awaitVersion waits until the VMs have the version.
+func awaitVersion(c *qt.C, vms []*vm, version uint64, bound time.Duration) time.Duration {
+	c.Helper()
+	return waitFor(c, fmt.Sprintf("version %d on %d VMs", version, len(vms)), bound, func() bool {
+		for _, v := range vms {
+			ctx, cancel := context.WithTimeout(context.Background(), callBound)
+			t, err := v.admin.Tables(ctx)
+			cancel()
+			if err != nil || t.Version < version {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/integration/fault_test.go
@@ -0,0 +1,80 @@
+package integration
+
+import (
+	"sync/atomic"
+
+	"github.com/Shopify/toxiproxy/v2/stream"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+)
+
+// faultType is the name of the toxic that every proxy carries in both directions.
+const faultType = "oleander_fault"
+
+func init() { toxics.Register(faultType, new(faultToxic)) }
+
+// faultToxic drops data without closing the connection. Unlike the timeout toxic it can
+// silence the connections that exist now while new ones pass.
+type faultToxic struct {
+	// silenced counts calls of silence; a connection of an older count is silent.
+	silenced atomic.Int64
+	cut      atomic.Bool
+	// budget is how many bytes pass before the connection that uses the last of them is
+	// closed; 0 for no limit.
+	budget atomic.Int64
+}
+
+// connectionState belongs to one direction of one connection. Once data has been
+// dropped, the rest is dropped too, since the stream would have a hole.
+type connectionState struct {
+	silenced int64
+	lossy    bool
+}
+
+// NewState implements toxics.StatefulToxic.
+func (f *faultToxic) NewState() interface{} {
+	return &connectionState{silenced: f.silenced.Load()}
+}
+
+// Pipe implements toxics.Toxic.
+func (f *faultToxic) Pipe(stub *toxics.ToxicStub) {
+	state := stub.State.(*connectionState)
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			state.lossy = state.lossy || f.cut.Load() || state.silenced < f.silenced.Load()
+			if state.lossy {
+				continue
+			}
+			if !f.pass(stub, chunk) {
+				stub.Close()
+				return
+			}
+		}
+	}
+}
+
+// pass forwards a chunk, or its beginning if the budget ends in it, and reports whether
+// the connection stays open.
+func (f *faultToxic) pass(stub *toxics.ToxicStub, chunk *stream.StreamChunk) bool {
+	if f.budget.Load() <= 0 {
+		stub.Output <- chunk
+		return true
+	}
+	left := f.budget.Add(-int64(len(chunk.Data)))
+	if left > 0 {
+		stub.Output <- chunk
+		return true
+	}
+	f.budget.Store(0)
+	keep := int64(len(chunk.Data)) + left
+	if keep > 0 {
+		stub.Output <- &stream.StreamChunk{Data: chunk.Data[:keep], Timestamp: chunk.Timestamp}
+	}
+	return false
+}
--- /dev/null
+++ b/integration/kill_test.go
@@ -0,0 +1,36 @@
+package integration
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a request that is lost, run twice or reported wrongly when daemons die
+// in the middle of it, each in turn and the owner of a partition in particular.
+func TestKilledDaemons(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	s := cl.startStream(defaultStream(2))
+	for _, v := range cl.vms {
+		cl.killDuringStream(s, v)
+	}
+	cl.killDuringStream(s, cl.partitionLeader("north"))
+	cl.killDuringStream(s, cl.partitionLeader("south"))
+	cl.waitSent(s, 50)
+	cl.settle(s.end())
+}
+
+// killDuringStream kills a daemon, lets requests arrive without it, and waits until it
+// votes again, since a second loss at the same time would stop the cluster.
+func (cl *cluster) killDuringStream(s *requestStream, v *vm) {
+	cl.c.Helper()
+	cl.waitSent(s, 30)
+	v.kill()
+	cl.waitSent(s, 30)
+	v.start()
+	took := cl.awaitFormed(formationBound)
+	cl.c.Logf("%s killed; three voters again %s after its start", v.name, took.Round(pollInterval))
+}
--- /dev/null
+++ b/integration/main_test.go
@@ -0,0 +1,43 @@
+// Package integration tests the programs as separate processes whose connections go
+// through a fault-injecting proxy inside the test process.
+package integration
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// programs is the folder with the built programs.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "oleander-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	if err := build(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// build compiles both programs, with the race detector if the tests have it.
+func build() error {
+	args := []string{"build", "-o", programs + string(filepath.Separator)}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	args = append(args, "../cmd/oleanderchute", "../cmd/standin-worker")
+	cmd := exec.Command("go", args...)
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
+	return cmd.Run()
+}
--- /dev/null
+++ b/integration/proxy_test.go
@@ -0,0 +1,57 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// hop is a proxy on one connection path, from one program to another.
+type hop struct {
+	address  string
+	up, down *faultToxic
+}
+
+func newHop(c *qt.C, name, upstream string) *hop {
+	c.Helper()
+	api := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(api, name, freeAddress(c, "127.0.0.1"), upstream)
+	h := &hop{address: proxy.Listen, up: addFault(c, proxy, "upstream"), down: addFault(c, proxy, "downstream")}
+	c.Assert(proxy.Start(), qt.IsNil)
+	c.Cleanup(proxy.Stop)
+	return h
+}
+
+func addFault(c *qt.C, proxy *toxiproxy.Proxy, direction string) *faultToxic {
+	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":{}}`, direction, faultType, direction)
+	wrapper, err := proxy.Toxics.AddToxicJson(strings.NewReader(text))
+	c.Assert(err, qt.IsNil)
+	return wrapper.Toxic.(*faultToxic)
+}
+
+// silence makes the present connections lose all further data while new ones pass.
+func (h *hop) silence() {
+	h.up.silenced.Add(1)
+	h.down.silenced.Add(1)
+}
+
+// cut makes present and new connections lose all data until heal; a connection that has
+// lost data stays silent.
+func (h *hop) cut() {
+	h.up.cut.Store(true)
+	h.down.cut.Store(true)
+}
+
+func (h *hop) heal() {
+	h.up.cut.Store(false)
+	h.down.cut.Store(false)
+}
+
+// breakAnswerAfter closes the connection that carries the given further byte of answers.
+func (h *hop) breakAnswerAfter(bytes int64) { h.down.budget.Store(bytes) }
+
+func (h *hop) url() string { return "http://" + h.address }
--- /dev/null
+++ b/integration/race_on_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package integration
+
+// raceEnabled reports whether the tests, and so the programs, run with the race detector.
+const raceEnabled = true
--- /dev/null
+++ b/integration/request_test.go
@@ -0,0 +1,117 @@
+package integration
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// Guards against a request that is lost or run twice when copies of it arrive through
+// several VMs, one after the other or at once, and against truncated large answers.
+func TestRequestsEndToEnd(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	version := cl.apply(tables(), 0)
+	awaitVersion(c, cl.vms, version, spreadBound)
+	cl.startWorkers()
+	book := newLedger()
+	entries := cl.singleEntries()
+	for _, nonIdempotent := range []bool{false, true} {
+		for i := range cl.vms {
+			cl.checkResend(book, entries, i, nonIdempotent)
+			cl.checkConcurrent(book, entries, i, nonIdempotent)
+		}
+	}
+	cl.checkLargeAnswers(book, entries)
+	a := cl.settle(book)
+	c.Check(a.done, qt.Equals, a.submitted)
+	cl.checkSingleStarts()
+}
+
+// singleEntries returns one client for each VM that tries no other VM.
+func (cl *cluster) singleEntries() []*client.Client {
+	var out []*client.Client
+	for _, v := range cl.vms {
+		out = append(out, cl.client(1, v.entry.address))
+	}
+	return out
+}
+
+func kindOf(i int) string {
+	if i%2 == 0 {
+		return kindNorth
+	}
+	return kindSouth
+}
+
+// checkResend sends a request through one VM and again through the two others.
+func (cl *cluster) checkResend(book *ledger, entries []*client.Client, first int, nonIdempotent bool) {
+	cl.c.Helper()
+	key := fmt.Sprintf("resend-%d-%v", first, nonIdempotent)
+	r := newRequest("caller", key, kindOf(first), nonIdempotent, program{RunMillis: 50, Answer: key})
+	e := book.add(r, []byte(key))
+	for i := range entries {
+		st, err := entries[(first+i)%len(entries)].Submit(within(cl.c, 15*time.Second), r)
+		cl.c.Assert(err, qt.IsNil)
+		cl.c.Assert(st.State, qt.Equals, api.StateDone)
+		cl.c.Assert(string(st.Answer), qt.Equals, key)
+		book.told(e, st, 0, nil)
+	}
+}
+
+// checkConcurrent sends copies of one request through all VMs at once.
+func (cl *cluster) checkConcurrent(book *ledger, entries []*client.Client, n int, nonIdempotent bool) {
+	cl.c.Helper()
+	key := fmt.Sprintf("together-%d-%v", n, nonIdempotent)
+	r := newRequest("caller", key, kindOf(n), nonIdempotent, program{RunMillis: 100, Answer: key})
+	e := book.add(r, []byte(key))
+	var wg sync.WaitGroup
+	for i := range 9 {
+		wg.Go(func() {
+			st, err := entries[i%len(entries)].Submit(within(cl.c, 15*time.Second), r)
+			cl.c.Check(err, qt.IsNil)
+			cl.c.Check(string(st.Answer), qt.Equals, key)
+			book.told(e, st, 0, err)
+		})
+	}
+	wg.Wait()
+}
+
+func (cl *cluster) checkLargeAnswers(book *ledger, entries []*client.Client) {
+	cl.c.Helper()
+	for i, size := range []int{1, 64 << 10, api.MaxBodyBytes} {
+		for j, entry := range entries {
+			key := fmt.Sprintf("large-%d-%d", i, j)
+			r := newRequest("caller", key, kindOf(j), false, program{AnswerBytes: size})
+			want := make([]byte, size)
+			for k := range want {
+				want[k] = 'a'
+			}
+			e := book.add(r, want)
+			st, err := entry.Submit(within(cl.c, 15*time.Second), r)
+			cl.c.Check(err, qt.IsNil)
+			cl.c.Check(len(st.Answer), qt.Equals, size)
+			book.told(e, st, 0, err)
+		}
+	}
+}
+
+// checkSingleStarts checks that no request was started more than once; nothing failed in
+// this cluster, so there is no reason for a second attempt.
+func (cl *cluster) checkSingleStarts() {
+	starts := map[api.RequestKey]int{}
+	for _, w := range cl.workers {
+		for _, e := range w.starts() {
+			starts[e.Task().RequestKey]++
+		}
+	}
+	for key, n := range starts {
+		cl.c.Check(n, qt.Equals, 1, qt.Commentf("%s", key))
+	}
+}
--- /dev/null
+++ b/integration/worker_test.go
@@ -0,0 +1,126 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+// worker is a stand-in worker behind a proxy.
+type worker struct {
+	*process
+	listen  string
+	journal string
+	// calls is the hop from the entry VMs to the worker.
+	calls *hop
+}
+
+// workerSlots is small, so that the limits of G1 are reached by the streams.
+const workerSlots = 6
+
+// startWorkers starts two workers in the north and one in the south and waits until they
+// are ready.
+func (cl *cluster) startWorkers() {
+	cl.c.Helper()
+	cl.addWorker("w1", poolNorth, "north", "n1")
+	cl.addWorker("w2", poolNorth, "north", "n2")
+	cl.addWorker("w3", poolSouth, "south", "s1")
+	cl.awaitWorkers(readyBound)
+}
+
+// readyBound covers an announcement every second and the first sync.
+const readyBound = time.Second + electionBound + silenceBound
+
+func (cl *cluster) addWorker(name, pool, region, domain string) *worker {
+	w := &worker{listen: freeAddress(cl.c, "127.0.0.1"), journal: filepath.Join(cl.dir, name+".journal")}
+	w.calls = newHop(cl.c, "calls-"+name, w.listen)
+	args := []string{
+		"--worker=" + name, "--pool=" + pool, "--region=" + region, "--failure-domain=" + domain, "--rack=r1",
+		"--listen=" + w.listen, "--url=" + w.calls.url(), "--journal=" + w.journal,
+		"--slots=6", "--milli-cpu=6000", "--memory-mb=8192",
+	}
+	for _, v := range cl.vms {
+		args = append(args, "--entry="+v.announce.url())
+	}
+	w.process = newProcess(cl.c, cl.dir, "standin-worker", name, args)
+	cl.workers = append(cl.workers, w)
+	w.start()
+	return w
+}
+
+// awaitWorkers waits until every running worker is ready at its owner.
+func (cl *cluster) awaitWorkers(bound time.Duration) {
+	cl.c.Helper()
+	want := 0
+	for _, w := range cl.workers {
+		if w.cmd != nil {
+			want++
+		}
+	}
+	waitFor(cl.c, "all workers ready", bound, func() bool {
+		ready := 0
+		for _, w := range cl.workerStates() {
+			if w.State == "ready" {
+				ready++
+			}
+		}
+		return ready == want
+	})
+}
+
+// workerStates returns what the owners say of the workers, or nil without an answer.
+func (cl *cluster) workerStates() map[string]api.WorkerStatus {
+	list, err := cl.operator().Workers(within(cl.c, 5*time.Second))
+	if err != nil {
+		return nil
+	}
+	out := map[string]api.WorkerStatus{}
+	for _, w := range list {
+		out[w.Worker] = w
+	}
+	return out
+}
+
+func (cl *cluster) worker(name string) *worker {
+	for _, w := range cl.workers {
+		if w.name == name {
+			return w
+		}
+	}
+	cl.c.Fatalf("no worker %q", name)
+	return nil
+}
+
+// setFaults sets the worker's own fault switches.
+func (w *worker) setFaults(f standin.Faults) {
+	w.c.Helper()
+	data, err := json.Marshal(f)
+	w.c.Assert(err, qt.IsNil)
+	resp, err := http.Post("http://"+w.listen+"/debug/faults", "application/json", bytes.NewReader(data))
+	w.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	w.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// starts returns the start events of the worker's journal.
+func (w *worker) starts() []standin.Event { return w.events(standin.EventStart) }
+
+func (w *worker) events(kind standin.EventKind) []standin.Event {
+	w.c.Helper()
+	all, err := standin.ReadJournal(w.journal)
+	w.c.Assert(err, qt.IsNil)
+	var out []standin.Event
+	for _, e := range all {
+		if e.Kind == kind {
+			out = append(out, e)
+		}
+	}
+	return out
+}
