--- /dev/null
+++ b/integration/partition_test.go
@@ -0,0 +1,189 @@
+package integration
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+const (
+	kindRemoved = "withdrawn-guarantee"
+	// cutLength is long enough for the lease to end and for several seconds after it.
+	cutLength = 2*configLease + time.Second
+)
+
+// Guards against a region that goes on accepting work, or that uses old tables, when it
+// cannot know which configuration is in force.
+func TestRegionsCutApart(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	version := cl.apply(tables(kindRemoved), 0)
+	awaitVersion(c, cl.vms, version, spreadBound)
+	cl.startWorkers()
+	majority, minority := cl.vms[:2], cl.vms[2:]
+	links := cl.between(majority, minority)
+	probe := cl.startProbe(minority[0])
+	s := cl.startStream(defaultStream(4))
+	cl.waitSent(s, 50)
+
+	cutAt := time.Now()
+	for _, h := range links {
+		h.cut()
+	}
+	end := time.After(cutLength)
+	version = cl.applyThrough(majority, tables(), version)
+	appliedAt := time.Now()
+	awaitVersion(c, majority, version, spreadBound)
+	cl.checkSouthServed(majority[0])
+	<-end
+	for _, h := range links {
+		h.heal()
+	}
+	healedAt := time.Now()
+	took := awaitVersion(c, cl.vms, version, spreadBound)
+	served := waitFor(c, "the minority accepts again", spreadBound-took, func() bool { return probe.lastAccepted().After(healedAt) })
+	c.Logf("change accepted %s after the cut; after healing in force in %s, accepting in %s", appliedAt.Sub(cutAt).Round(pollInterval), took.Round(pollInterval), (took + served).Round(pollInterval))
+	probe.end()
+	probe.check(c, cutAt, healedAt)
+	cl.awaitFormed(formationBound)
+	cl.settle(s.end())
+	cl.settle(probe.ledger)
+}
+
+// applyThrough applies a change through the given VMs only.
+func (cl *cluster) applyThrough(vms []*vm, t api.Tables, base uint64) uint64 {
+	cl.c.Helper()
+	var addresses []string
+	for _, v := range vms {
+		addresses = append(addresses, v.web)
+	}
+	answer, err := cl.client(24, addresses...).Apply(within(cl.c, 15*time.Second), api.ApplyRequest{Operator: "test", BaseVersion: base, Tables: t})
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(answer.Accepted, qt.IsTrue, qt.Commentf("%+v", answer))
+	return answer.Version
+}
+
+// checkSouthServed checks that the majority takes work of the partition whose home region
+// is cut off: its quorum is on the majority side.
+func (cl *cluster) checkSouthServed(v *vm) {
+	cl.c.Helper()
+	entry := cl.client(1, v.entry.address)
+	waitFor(cl.c, "work of the south is accepted by the north", 3*electionBound, func() bool {
+		r := newRequest("majority", "k", kindSouth, false, program{Answer: "x"})
+		r.WaitMillis = 0
+		_, err := entry.Submit(within(cl.c, callBound*2), r)
+		return err == nil
+	})
+}
+
+// probe submits through one VM all the time and notes what was accepted when.
+type probe struct {
+	ledger *ledger
+	stop   chan struct{}
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	results []probeResult // guarded by mu
+}
+
+type probeResult struct {
+	kind       string
+	sent, told time.Time
+	err        error
+}
+
+// probeKinds are asked for in turn: one that stays and the one that is withdrawn.
+var probeKinds = []string{kindNorth, kindRemoved, kindSouth}
+
+func (cl *cluster) startProbe(v *vm) *probe {
+	p := &probe{ledger: newLedger(), stop: make(chan struct{})}
+	for i, kind := range probeKinds {
+		entry := cl.client(1, v.entry.address)
+		p.wg.Go(func() { p.run(cl, entry, kind, i) })
+	}
+	return p
+}
+
+// probeInterval and the number of probes bound the load of a probe.
+const (
+	probeInterval = 50 * time.Millisecond
+	probeMost     = 600
+)
+
+func (p *probe) run(cl *cluster, entry *client.Client, kind string, index int) {
+	for n := range probeMost {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(probeInterval):
+		}
+		key := fmt.Sprintf("p%d-%d", index, n)
+		r := newRequest("probe", key, kind, n%2 == 0, program{Answer: key})
+		r.WaitMillis = 0
+		res := probeResult{kind: kind, sent: time.Now()}
+		st, err := entry.Submit(within(cl.c, 10*time.Second), r)
+		res.told, res.err = time.Now(), err
+		// A request that was certainly not accepted must stay unknown to the system, and
+		// the withdrawn kind cannot be asked for later.
+		if kind != kindRemoved && (err == nil || !isNotRun(err)) {
+			p.ledger.told(p.ledger.add(r, []byte(key)), st, 0, err)
+		}
+		p.mu.Lock()
+		p.results = append(p.results, res)
+		p.mu.Unlock()
+	}
+}
+
+func isNotRun(err error) bool {
+	e, ok := err.(*api.Error)
+	return ok && e.NotRun
+}
+
+func (p *probe) end() {
+	close(p.stop)
+	p.wg.Wait()
+}
+
+func (p *probe) lastAccepted() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last time.Time
+	for _, r := range p.results {
+		if r.err == nil && r.sent.After(last) {
+			last = r.sent
+		}
+	}
+	return last
+}
+
+// check compares what the minority accepted with the lease.
+func (p *probe) check(c *qt.C, cutAt, healedAt time.Time) {
+	c.Helper()
+	bound := cutAt.Add(configLease + heartbeat)
+	var lastIn time.Duration
+	refused := 0
+	for _, r := range p.results {
+		if r.err == nil && r.sent.After(cutAt) && r.sent.Before(healedAt) {
+			lastIn = max(lastIn, r.sent.Sub(cutAt))
+		}
+		if r.err == nil && r.kind == kindRemoved && r.sent.After(bound) {
+			c.Errorf("a withdrawn kind was accepted %s after the cut", r.sent.Sub(cutAt))
+		}
+		if r.sent.Before(bound) || r.told.After(healedAt) {
+			continue
+		}
+		refused++
+		if !isNotRun(r.err) {
+			c.Errorf("%s was answered with %v %s after the cut, want a refusal as not accepted", r.kind, r.err, r.sent.Sub(cutAt).Round(time.Millisecond))
+		}
+	}
+	c.Check(lastIn <= configLease+heartbeat, qt.IsTrue)
+	c.Check(refused > 10, qt.IsTrue, qt.Commentf("only %d probes after the lease", refused))
+	c.Logf("minority: last accepted %s after the cut; %d probes refused after the lease", lastIn.Round(pollInterval), refused)
+}
--- /dev/null
+++ b/integration/silence_test.go
@@ -0,0 +1,139 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// replaceBound is when a silent connection is replaced: found by its deadline, and then
+// one call on the new one.
+const replaceBound = silenceBound + callBound
+
+// Guards against connections that went silent for good while new ones work: a worker
+// that gets nothing any more, calls between VMs that wait for ever, and a request whose
+// dispatch was lost with the connection and that is run again or reported wrongly.
+func TestSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	s := cl.startStream(defaultStream(5))
+	cl.waitSent(s, 60)
+	for _, w := range cl.workers {
+		cl.silenceWorker(w)
+	}
+	cl.silenceLink(cl.partitionLeader("north"))
+	cl.silenceAll()
+	cl.waitSent(s, 50)
+	cl.settle(s.end())
+}
+
+// silenceWorker silences the connections to a worker under load and waits for the next
+// task that starts there.
+func (cl *cluster) silenceWorker(w *worker) {
+	cl.c.Helper()
+	at := time.Now()
+	w.calls.silence()
+	took := waitFor(cl.c, "a task starts on "+w.name+" again", replaceBound, func() bool {
+		starts := w.starts()
+		return len(starts) > 0 && starts[len(starts)-1].UnixNanos > at.Add(inFlight).UnixNano()
+	})
+	cl.c.Logf("connections to %s silenced; next task started after %s", w.name, took.Round(pollInterval))
+}
+
+// inFlight is allowed for data that had passed the proxy before it went silent.
+const inFlight = 20 * time.Millisecond
+
+// silenceLink silences the connections from another VM to the owner and waits for an
+// answer through that VM.
+func (cl *cluster) silenceLink(owner *vm) {
+	cl.c.Helper()
+	from := cl.vms[0]
+	if from == owner {
+		from = cl.vms[1]
+	}
+	entry := cl.client(1, from.entry.address)
+	warm := newRequest("link", "warm", kindNorth, false, program{Answer: "x"})
+	_, err := entry.Submit(within(cl.c, 10*time.Second), warm)
+	cl.c.Assert(err, qt.IsNil)
+	cl.links[[2]string{from.name, owner.name}].silence()
+	r := newRequest("link", "probe", kindNorth, true, program{Answer: "x"})
+	r.WaitMillis = callBound.Milliseconds()
+	start := time.Now()
+	st, err := entry.Submit(within(cl.c, 15*time.Second), r)
+	took := time.Since(start)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Check(st.State, qt.Equals, api.StateDone)
+	cl.c.Check(took <= replaceBound, qt.IsTrue, qt.Commentf("answered after %s", took))
+	cl.c.Logf("connections %s-%s silenced; request through %s done after %s", from.name, owner.name, from.name, took.Round(pollInterval))
+}
+
+// silenceAll silences every connection between VMs at once, which also lets leader
+// leases end, and waits until a request through each VM is done.
+func (cl *cluster) silenceAll() {
+	cl.c.Helper()
+	for _, h := range cl.links {
+		h.silence()
+	}
+	start := time.Now()
+	for i, v := range cl.vms {
+		entry := cl.client(1, v.entry.address)
+		r := newRequest("all", v.name, kindOf(i), false, program{Answer: "x"})
+		waitFor(cl.c, "a request through "+v.name, replaceBound+2*electionBound-time.Since(start), func() bool {
+			st, err := entry.Submit(within(cl.c, 6*time.Second), r)
+			return err == nil && st.State == api.StateDone
+		})
+	}
+	cl.c.Logf("all connections between VMs silenced; requests through each done after %s", time.Since(start).Round(pollInterval))
+}
+
+// Guards against an answer that breaks off on its way and is taken for whole, and against
+// a second run of the work because its answer was lost.
+func TestAnswersCutInTheMiddle(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	book := newLedger()
+	caller := cl.caller(2)
+	owner := cl.partitionLeader("north")
+	hops := map[string][]*hop{
+		"caller": {cl.vms[2].entry},
+		"worker": {cl.worker("w1").calls, cl.worker("w2").calls},
+	}
+	if owner != cl.vms[2] {
+		hops["vm"] = []*hop{cl.links[[2]string{"vm3", owner.name}]}
+	}
+	for name, list := range hops {
+		for _, nonIdempotent := range []bool{false, true} {
+			key := name
+			if nonIdempotent {
+				key += "-once"
+			}
+			for _, h := range list {
+				h.breakAnswerAfter(api.MaxBodyBytes / 2)
+			}
+			r := newRequest("cut", key, kindNorth, nonIdempotent, program{AnswerBytes: api.MaxBodyBytes, RunMillis: 50})
+			want := make([]byte, api.MaxBodyBytes)
+			for i := range want {
+				want[i] = 'a'
+			}
+			e := book.add(r, want)
+			start := time.Now()
+			st, err := caller.Submit(within(c, 30*time.Second), r)
+			book.told(e, st, time.Since(start), err)
+			c.Check(err, qt.IsNil)
+			c.Check(st.State, qt.Equals, api.StateDone, qt.Commentf("%s", key))
+			c.Logf("answer cut at the hop of the %s: done after %s", key, time.Since(start).Round(pollInterval))
+			for _, h := range list {
+				h.breakAnswerAfter(0)
+			}
+		}
+	}
+	cl.settle(book)
+	cl.checkSingleStarts()
+}
--- /dev/null
+++ b/integration/workerloss_test.go
@@ -0,0 +1,107 @@
+package integration
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+// Guards against work that runs twice, or whose outcome is reported without proof, when
+// its worker dies, comes back with or without its journal, or is paused beyond its lease.
+func TestLostWorkers(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	plan := defaultStream(6)
+	plan.longestRun = 200 * time.Millisecond
+	s := cl.startStream(plan)
+	cl.loseWorker(s, "w1")
+	cl.loseWorker(s, "w2", "--no-memory")
+	cl.loseWorker(s, "w3")
+	w := cl.worker("w3")
+	cl.waitSent(s, 30)
+	w.freeze()
+	<-time.After(leaseLength + time.Second) // the length of the fault
+	w.resume()
+	cl.waitSent(s, 30)
+	cl.awaitWorkers(readyBound + leaseLength)
+	cl.settle(s.end())
+}
+
+// loseWorker kills a worker under load and starts it again after its lease has ended at
+// the owner.
+func (cl *cluster) loseWorker(s *requestStream, name string, extra ...string) {
+	cl.c.Helper()
+	w := cl.worker(name)
+	cl.waitSent(s, 40)
+	w.kill()
+	waitFor(cl.c, name+" is seen as lost", silenceBound+2*leaseLength, func() bool {
+		st, ok := cl.workerStates()[name]
+		return !ok || st.State != "ready"
+	})
+	cl.waitSent(s, 20)
+	w.start(extra...)
+	cl.awaitWorkers(readyBound + leaseLength)
+}
+
+// leaveBound is the promise for a worker that is leaving (G6).
+const leaveBound = 3 * time.Second
+
+// Guards against new work on a worker that is leaving, and against tasks that are cut
+// off there.
+func TestLeavingWorker(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	book := newLedger()
+	w := cl.worker("w1")
+	long := cl.submitLong(book)
+	waitFor(c, "long tasks on w1", readyBound, func() bool { return len(w.starts()) >= 2 })
+	s := cl.startStream(defaultStream(7))
+	cl.waitSent(s, 40)
+	leftAt := time.Now()
+	w.terminate()
+	w.awaitEnd(longRun + 2*leaveBound)
+	cl.waitSent(s, 20)
+	cl.settle(s.end())
+	long.Wait()
+	a := cl.settle(book)
+	c.Check(a.done, qt.Equals, a.submitted)
+	c.Check(w.events(standin.EventStop), qt.HasLen, 0, qt.Commentf("tasks were cut off"))
+	last := time.Duration(0)
+	for _, e := range w.starts() {
+		last = max(last, time.Unix(0, e.UnixNanos).Sub(leftAt))
+	}
+	c.Check(last <= leaveBound, qt.IsTrue, qt.Commentf("a task was started %s after SIGTERM", last))
+	c.Logf("last start on the leaving worker %s after SIGTERM; it ended %s after it", last.Round(time.Millisecond), time.Since(leftAt).Round(pollInterval))
+}
+
+// longRun is longer than leaveBound, so that the worker still runs when the bound ends.
+const longRun = leaveBound + 2*time.Second
+
+// submitLong submits four long tasks; with two workers at least one gets two.
+func (cl *cluster) submitLong(book *ledger) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	caller := cl.caller(0)
+	for i := range 4 {
+		key := fmt.Sprintf("long%d", i)
+		r := newRequest("long", key, kindNorth, i%2 == 0, program{RunMillis: longRun.Milliseconds(), Answer: key})
+		r.WaitMillis = (3 * longRun).Milliseconds()
+		e := book.add(r, []byte(key))
+		wg.Go(func() {
+			st, err := caller.Submit(within(cl.c, 30*time.Second), r)
+			cl.c.Check(err, qt.IsNil)
+			cl.c.Check(st.State, qt.Equals, api.StateDone)
+			book.told(e, st, 0, err)
+		})
+	}
+	return &wg
+}
