--- /dev/null
+++ b/integration/change_test.go
@@ -0,0 +1,57 @@
+package integration
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// changeInput is one call of apply.
+type changeInput struct {
+	id   string
+	base uint64
+}
+
+// changeOutput is the definite answer to it.
+type changeOutput struct {
+	accepted bool
+	version  uint64
+}
+
+// changeState is the version in force and the first answer to each change id. It is
+// never changed in place.
+type changeState struct {
+	version uint64
+	answers map[string]changeOutput
+}
+
+// changeModel is a version register: a change on the version in force is accepted and
+// raises it by one, any other change is answered with the version in force, and a resent
+// change gets its first answer.
+var changeModel = porcupine.Model{
+	Init: func() interface{} { return changeState{answers: map[string]changeOutput{}} },
+	Step: func(state, input, output interface{}) (bool, interface{}) {
+		s, in, out := state.(changeState), input.(changeInput), output.(changeOutput)
+		if first, ok := s.answers[in.id]; ok {
+			return out == first, s
+		}
+		want := changeOutput{version: s.version}
+		if in.base == s.version {
+			want = changeOutput{accepted: true, version: s.version + 1}
+		}
+		if out != want {
+			return false, s
+		}
+		next := changeState{version: want.version, answers: maps.Clone(s.answers)}
+		next.answers[in.id] = out
+		return true, next
+	},
+	Equal: func(a, b interface{}) bool {
+		x, y := a.(changeState), b.(changeState)
+		return x.version == y.version && maps.Equal(x.answers, y.answers)
+	},
+	DescribeOperation: func(input, output interface{}) string {
+		return fmt.Sprintf("apply(%+v) -> %+v", input, output)
+	},
+}
--- /dev/null
+++ b/integration/operators_test.go
@@ -0,0 +1,202 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+)
+
+// Guards against two operators who both win with the same base version, a resent change
+// that is applied twice or answered differently, and a version that goes back, while the
+// control leader dies and links are cut, and after a restart of everything.
+func TestOperatorsRace(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	cl.apply(tables(), 0)
+	h := &changeHistory{start: time.Now()}
+	h.add(0, changeInput{"first", 0}, 0, changeOutput{true, 1}, 0)
+	h.version.Store(1)
+	stop := make(chan struct{})
+	var operators sync.WaitGroup
+	for i := range 4 {
+		operators.Go(func() { cl.operate(h, i, stop) })
+	}
+	for range 2 {
+		cl.disturbControl(h)
+	}
+	h.awaitMore(c, 10)
+	close(stop)
+	operators.Wait()
+	h.check(c)
+
+	for _, v := range cl.vms {
+		v.kill()
+	}
+	for _, v := range cl.vms {
+		v.start()
+	}
+	cl.awaitFormed(formationBound)
+	h.checkVersions(cl)
+}
+
+// disturbControl kills the control leader and cuts a link of the next one.
+func (cl *cluster) disturbControl(h *changeHistory) {
+	cl.c.Helper()
+	h.awaitMore(cl.c, 10)
+	leader := cl.controlLeader()
+	leader.kill()
+	h.awaitMore(cl.c, 5)
+	leader.start()
+	cl.awaitFormed(formationBound)
+	leader = cl.controlLeader()
+	other := cl.vms[0]
+	if other == leader {
+		other = cl.vms[1]
+	}
+	links := cl.between([]*vm{leader}, []*vm{other})
+	for _, l := range links {
+		l.cut()
+	}
+	h.awaitMore(cl.c, 5)
+	for _, l := range links {
+		l.heal()
+	}
+	cl.awaitFormed(formationBound)
+}
+
+// changeHistory is the history of all changes. It is safe for concurrent use.
+type changeHistory struct {
+	start   time.Time
+	version atomic.Uint64 // the highest version that an answer has shown
+
+	mu         sync.Mutex
+	operations []porcupine.Operation // guarded by mu
+	unresolved int                   // guarded by mu
+}
+
+func (h *changeHistory) now() int64 { return int64(time.Since(h.start)) }
+
+func (h *changeHistory) add(client int, in changeInput, called int64, out changeOutput, returned int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: in, Call: called, Output: out, Return: returned})
+	if out.version > h.version.Load() {
+		h.version.Store(out.version)
+	}
+}
+
+func (h *changeHistory) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.operations)
+}
+
+func (h *changeHistory) awaitMore(c *qt.C, n int) {
+	c.Helper()
+	want := h.len() + n
+	waitFor(c, fmt.Sprintf("%d further changes", n), 20*time.Second, func() bool { return h.len() >= want })
+}
+
+// operatorPause and operatorMost bound the load of one operator.
+const (
+	operatorPause = 40 * time.Millisecond
+	operatorMost  = 250
+)
+
+// operate applies changes on the newest version that any answer has shown, so that
+// operators collide, and resends every third change through another VM.
+func (cl *cluster) operate(h *changeHistory, index int, stop chan struct{}) {
+	random := rand.New(rand.NewPCG(9, uint64(index)))
+	var entries []*client.Client
+	for _, v := range cl.vms {
+		entries = append(entries, cl.client(1, v.entry.address))
+	}
+	for n := range operatorMost {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.Int64N(int64(operatorPause)))):
+		}
+		in := changeInput{id: fmt.Sprintf("c%d-%d", index, n), base: h.version.Load()}
+		cl.change(h, index, in, entries, random)
+		if n%3 == 0 {
+			cl.change(h, index, in, entries, random)
+		}
+	}
+}
+
+// changeBound covers an election while a VM that is cut off is tried too.
+const changeBound = 25 * time.Second
+
+// change sends a change through VMs in random order until an answer is definite.
+func (cl *cluster) change(h *changeHistory, index int, in changeInput, entries []*client.Client, random *rand.Rand) {
+	ctx, cancel := context.WithTimeout(context.Background(), changeBound)
+	defer cancel()
+	req := api.ApplyRequest{ChangeID: in.id, BaseVersion: in.base, Operator: "racer", Tables: tables("route-" + in.id)}
+	called := h.now()
+	for ctx.Err() == nil {
+		answer, err := entries[random.IntN(len(entries))].Apply(ctx, req)
+		if err == nil {
+			h.add(index, in, called, changeOutput{answer.Accepted, answer.Version}, h.now())
+			return
+		}
+	}
+	h.mu.Lock()
+	h.unresolved++
+	h.mu.Unlock()
+}
+
+// checkBound bounds the search for an order of the history.
+const checkBound = 20 * time.Second
+
+func (h *changeHistory) check(c *qt.C) {
+	c.Helper()
+	accepted := 0
+	for _, o := range h.operations {
+		if o.Output.(changeOutput).accepted {
+			accepted++
+		}
+	}
+	c.Logf("changes: %d answered, %d answers of acceptance, version %d", len(h.operations), accepted, h.version.Load())
+	c.Check(h.unresolved, qt.Equals, 0, qt.Commentf("changes without a definite answer within %s", changeBound))
+	c.Check(porcupine.CheckOperationsTimeout(changeModel, h.operations, checkBound), qt.Equals, porcupine.Ok)
+}
+
+// checkVersions checks after a restart that no VM has an older version than an answer
+// has shown, that the version does not move by itself, and that each accepted change is
+// in the history once.
+func (h *changeHistory) checkVersions(cl *cluster) {
+	c := cl.c
+	c.Helper()
+	want := h.version.Load()
+	for _, v := range cl.vms {
+		t, err := v.admin.Tables(within(c, callBound))
+		c.Assert(err, qt.IsNil)
+		c.Check(t.Version, qt.Equals, want, qt.Commentf("%s", v.name))
+	}
+	list, err := cl.operator().History(within(c, 5*time.Second))
+	c.Assert(err, qt.IsNil)
+	byID := map[string]uint64{}
+	for _, e := range list {
+		if old, ok := byID[e.ChangeID]; ok {
+			c.Errorf("change %s is in the history as versions %d and %d", e.ChangeID, old, e.Version)
+		}
+		byID[e.ChangeID] = e.Version
+	}
+	for _, o := range h.operations {
+		in, out := o.Input.(changeInput), o.Output.(changeOutput)
+		if out.accepted && in.id != "first" {
+			c.Check(byID[in.id], qt.Equals, out.version, qt.Commentf("%s", in.id))
+		}
+	}
+}
--- a/integration/silence_test.go
+++ b/integration/silence_test.go
@@ -1,12 +1,15 @@
 package integration
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/client"
+	"github.com/oleanderchute/oleanderchute/standin"
 )
 
 // replaceBound is when a silent connection is replaced: found by its deadline, and then
@@ -91,6 +94,44 @@
 	cl.c.Logf("all connections between VMs silenced; requests through each done after %s", time.Since(start).Round(pollInterval))
 }
 
+// Guards against an idle worker that is taken for lost after its connections went silent,
+// since the retried sync waits for news until the lease has ended. The connections are
+// silenced just after a sync was sent, so that the lease is as old as possible when the
+// silence is found.
+func TestSilentIdleWorker(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	w := cl.addWorker("w3", poolSouth, "south", "s1")
+	cl.awaitWorkers(readyBound)
+	book := newLedger()
+	caller := cl.caller(0)
+	for n := range 3 {
+		key := fmt.Sprintf("before%d", n)
+		cl.submitDone(caller, book, newRequest("idle", key, kindSouth, false, program{Answer: key}))
+		waitFor(c, "the end is acknowledged with a new sync", silenceBound, func() bool { return len(w.events(standin.EventAck)) == 2*n+1 })
+		w.calls.silence()
+		start := time.Now()
+		key = fmt.Sprintf("after%d", n)
+		cl.submitDone(caller, book, newRequest("idle", key, kindSouth, false, program{Answer: key}))
+		took := time.Since(start)
+		c.Logf("connections to the idle worker silenced; next request done after %s", took.Round(pollInterval))
+		c.Check(took <= replaceBound, qt.IsTrue, qt.Commentf("done after %s, bound %s", took, replaceBound))
+		waitFor(c, "the end is acknowledged", silenceBound, func() bool { return len(w.events(standin.EventAck)) == 2*n+2 })
+	}
+	cl.settle(book)
+}
+
+// submitDone submits a request that echoes its key and expects it to be done.
+func (cl *cluster) submitDone(caller *client.Client, book *ledger, r api.SubmitRequest) {
+	cl.c.Helper()
+	e := book.add(r, []byte(r.Key))
+	st, err := caller.Submit(within(cl.c, 15*time.Second), r)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(st.State, qt.Equals, api.StateDone)
+	book.told(e, st, 0, nil)
+}
+
 // Guards against an answer that breaks off on its way and is taken for whole, and against
 // a second run of the work because its answer was lost.
 func TestAnswersCutInTheMiddle(t *testing.T) {
--- /dev/null
+++ b/integration/timing_test.go
@@ -0,0 +1,44 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+)
+
+// addedBound is far above what a request costs on loopback; a fault such as a wait for a
+// poll or for a commit that nobody needs costs more.
+const addedBound = 250 * time.Millisecond
+
+// timedRequests is the number of requests of each sort.
+const timedRequests = 200
+
+// Guards against time that the system adds to a request without need. It also measures:
+// both sorts of request alternate in one run.
+func TestTimeAddedToRequests(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	const run = 10 * time.Millisecond
+	added := map[bool][]time.Duration{}
+	caller := cl.caller(0)
+	for n := range 2 * timedRequests {
+		once := n%2 == 0
+		r := newRequest("timing", fmt.Sprintf("t%d", n), kindNorth, once, program{RunMillis: run.Milliseconds(), Answer: "x"})
+		start := time.Now()
+		st, err := caller.Submit(within(c, 15*time.Second), r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(st.State, qt.Equals, api.StateDone)
+		added[once] = append(added[once], time.Since(start)-run)
+	}
+	for _, once := range []bool{false, true} {
+		list := added[once]
+		c.Logf("time added, non-idempotent=%v: median %s, p99 %s (%d requests)", once, quantile(list, 0.5), quantile(list, 0.99), len(list))
+		c.Check(quantile(list, 0.99) <= addedBound, qt.IsTrue)
+	}
+}
--- a/integration/worker_test.go
+++ b/integration/worker_test.go
@@ -1,9 +1,6 @@
 package integration
 
 import (
-	"bytes"
-	"encoding/json"
-	"net/http"
 	"path/filepath"
 	"time"
 
@@ -22,9 +19,6 @@
 	calls *hop
 }
 
-// workerSlots is small, so that the limits of G1 are reached by the streams.
-const workerSlots = 6
-
 // startWorkers starts two workers in the north and one in the south and waits until they
 // are ready.
 func (cl *cluster) startWorkers() {
@@ -41,6 +35,7 @@
 func (cl *cluster) addWorker(name, pool, region, domain string) *worker {
 	w := &worker{listen: freeAddress(cl.c, "127.0.0.1"), journal: filepath.Join(cl.dir, name+".journal")}
 	w.calls = newHop(cl.c, "calls-"+name, w.listen)
+	// Few slots, so that the streams reach the limits of G1.
 	args := []string{
 		"--worker=" + name, "--pool=" + pool, "--region=" + region, "--failure-domain=" + domain, "--rack=r1",
 		"--listen=" + w.listen, "--url=" + w.calls.url(), "--journal=" + w.journal,
@@ -98,17 +93,6 @@
 	return nil
 }
 
-// setFaults sets the worker's own fault switches.
-func (w *worker) setFaults(f standin.Faults) {
-	w.c.Helper()
-	data, err := json.Marshal(f)
-	w.c.Assert(err, qt.IsNil)
-	resp, err := http.Post("http://"+w.listen+"/debug/faults", "application/json", bytes.NewReader(data))
-	w.c.Assert(err, qt.IsNil)
-	resp.Body.Close()
-	w.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
-}
-
 // starts returns the start events of the worker's journal.
 func (w *worker) starts() []standin.Event { return w.events(standin.EventStart) }
 
--- a/integration/workerloss_test.go
+++ b/integration/workerloss_test.go
@@ -77,11 +77,11 @@
 	c.Check(a.done, qt.Equals, a.submitted)
 	c.Check(w.events(standin.EventStop), qt.HasLen, 0, qt.Commentf("tasks were cut off"))
 	last := time.Duration(0)
-	for _, e := range w.starts() {
+	for _, e := range append(w.starts(), w.events(standin.EventRefuse)...) {
 		last = max(last, time.Unix(0, e.UnixNanos).Sub(leftAt))
 	}
-	c.Check(last <= leaveBound, qt.IsTrue, qt.Commentf("a task was started %s after SIGTERM", last))
-	c.Logf("last start on the leaving worker %s after SIGTERM; it ended %s after it", last.Round(time.Millisecond), time.Since(leftAt).Round(pollInterval))
+	c.Check(last <= leaveBound, qt.IsTrue, qt.Commentf("work was sent %s after SIGTERM", last))
+	c.Logf("last work sent to the leaving worker %s after SIGTERM; it ended %s after it", last.Round(time.Millisecond), time.Since(leftAt).Round(pollInterval))
 }
 
 // longRun is longer than leaveBound, so that the worker still runs when the bound ends.
