server: replace all connections to a worker after a failed call

When the connections to a worker go silent, the idle ones in the pool are silent too, and a call that takes one of them waits for its whole deadline. Each worker now has its own HTTP client; after a call without an answer the next call uses a new one.

--- a/server/workercalls.go
+++ b/server/workercalls.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,18 +33,44 @@
 
 // workerCalls makes the HTTP calls to workers and returns the answers as events.
 type workerCalls struct {
-	loop   *loop
-	client *http.Client
+	loop *loop
+	mu   sync.Mutex
+	// clients holds one client for each host, so that the connections to one worker
+	// are replaced without those to the others. Guarded by mu.
+	clients map[string]*http.Client
 }
 
 func newWorkerCalls(l *loop) *workerCalls {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
-		MaxConnsPerHost:     connectionsPerWorker,
-		MaxIdleConnsPerHost: connectionsPerWorker,
-		IdleConnTimeout:     30 * time.Second,
+	return &workerCalls{loop: l, clients: map[string]*http.Client{}}
+}
+
+// client returns the client for a host.
+func (w *workerCalls) client(host string) *http.Client {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.clients[host]
+	if c == nil {
+		c = &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+			MaxConnsPerHost:     connectionsPerWorker,
+			MaxIdleConnsPerHost: connectionsPerWorker,
+			IdleConnTimeout:     30 * time.Second,
+		}}
+		w.clients[host] = c
+	}
+	return c
+}
+
+// replace makes the next call to a host open a new connection. When one connection has
+// gone silent, the idle ones have too, and each would cost a call its whole deadline.
+// Calls in flight end on the old connections by their deadline.
+func (w *workerCalls) replace(host string, old *http.Client) {
+	w.mu.Lock()
+	if w.clients[host] == old {
+		delete(w.clients, host)
 	}
-	return &workerCalls{loop: l, client: &http.Client{Transport: transport}}
+	w.mu.Unlock()
+	old.CloseIdleConnections()
 }
 
 // post sends v as JSON and decodes the answer into out. An error means that the worker
@@ -63,13 +90,16 @@
 	// closed; a dispatch must never be sent again by the transport.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := w.client.Do(req)
+	c := w.client(req.URL.Host)
+	resp, err := c.Do(req)
 	if err != nil {
+		w.replace(req.URL.Host, c)
 		return errors.WithStack(err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxWorkerResponse))
 	if err != nil {
+		w.replace(req.URL.Host, c)
 		return errors.WithStack(err)
 	}
 	if resp.StatusCode != http.StatusOK {
