--- a/integration/freeze_test.go
+++ b/integration/freeze_test.go
@@ -14,6 +14,7 @@
 // Guards against an owner that acts on a lease that ended while its process was paused:
 // it would place work that its successor has placed too, or report "not run" wrongly.
 func TestFrozenPartitionLeader(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
--- a/integration/kill_test.go
+++ b/integration/kill_test.go
@@ -9,6 +9,7 @@
 // Guards against a request that is lost, run twice or reported wrongly when daemons die
 // in the middle of it, each in turn and the owner of a partition in particular.
 func TestKilledDaemons(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -20,6 +20,7 @@
 // that is applied twice or answered differently, and a version that goes back, while the
 // control leader dies and links are cut, and after a restart of everything.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	cl.apply(tables(), 0)
--- a/integration/partition_test.go
+++ b/integration/partition_test.go
@@ -21,6 +21,7 @@
 // Guards against a region that goes on accepting work, or that uses old tables, when it
 // cannot know which configuration is in force.
 func TestRegionsCutApart(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	version := cl.apply(tables(kindRemoved), 0)
--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -20,6 +20,7 @@
 // Guards against tables that are lost or go back when all daemons die at once, and
 // against a recovery that grows out of bounds with the number of changes.
 func TestRestartAfterManyChanges(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	operator := cl.operator()
@@ -78,6 +79,7 @@
 // Guards against lost disks that cost an accepted change or outcome: a deleted folder, a
 // folder restored from an old copy, and a log whose last record is torn.
 func TestDamagedFolders(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	d := &durable{cl: cl, ledger: newLedger(), version: cl.apply(tables(), 0)}
--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -15,6 +15,7 @@
 // Guards against a request that is lost or run twice when copies of it arrive through
 // several VMs, one after the other or at once, and against truncated large answers.
 func TestRequestsEndToEnd(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	version := cl.apply(tables(), 0)
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -14,6 +14,7 @@
 // Guards against a graceful shutdown that cuts off callers that wait at the VM, or that
 // harms requests whose partition the VM owns.
 func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
--- a/integration/workerloss_test.go
+++ b/integration/workerloss_test.go
@@ -15,6 +15,7 @@
 // Guards against work that runs twice, or whose outcome is reported without proof, when
 // its worker dies, comes back with or without its journal, or is paused beyond its lease.
 func TestLostWorkers(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
@@ -57,6 +58,7 @@
 // Guards against new work on a worker that is leaving, and against tasks that are cut
 // off there.
 func TestLeavingWorker(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(c)
 	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
