partition: a sync after a failed one is not held

Cause: a sync on a silent connection fails at 1.5 s; the next one was a long poll of 500 ms again, answered at 2.1 s, after the lease had certainly ended at 2.02 s, and the worker was lost (TestSilentIdleWorker, TestSilentConnections). Change: after a failure the worker is asked to answer at once.

--- a/partition/sync.go
+++ b/partition/sync.go
@@ -23,10 +23,20 @@
 	o.emit(SendSync{Worker: w.name, URL: url, Sequence: w.syncSequence, Request: api.SyncRequest{
 		Partition: o.p.cfg.Name, Epoch: o.epoch, EchoToken: w.token, EchoIncarnation: w.incarnation,
 		LeaseMillis: api.Millis(o.p.cfg.TaskLease), Acknowledged: slices.Clone(w.acks),
-		WaitMillis: api.Millis(syncWait),
+		WaitMillis: api.Millis(w.syncWait()),
 	}})
 }
 
+// syncWait is how long the worker may hold the next sync. A failed sync has used up 1.5 s
+// of the lease of 2 s, so the one after it asks for an answer at once; held for 500 ms, it
+// came after the end of the lease.
+func (w *workerState) syncWait() time.Duration {
+	if w.failing {
+		return 0
+	}
+	return syncWait
+}
+
 // resumeSync sends the sync that waited for end records.
 func (o *owner) resumeSync(now time.Duration, w *workerState) {
 	if w.synced && w.pendingEnds == 0 && !w.failing {
