server: spread control voters over regions first

Cause: voters were spread over failure domains only, so with three regions two of the three could stand in one region. Change: chooseVoters ranks by region, then by failure domain.

--- a/server/control.go
+++ b/server/control.go
@@ -118,38 +118,47 @@
 	return want
 }
 
-// chooseVoters returns up to count VMs with a disk: first those in current, then those
-// whose failure domain has the fewest voters, by name.
+// chooseVoters returns up to count VMs with a disk: first those in current, then one after
+// the other the VM whose region, then whose failure domain, has the fewest voters, by name.
+// With three regions no region holds a majority, so the loss of one stops no change.
 func chooseVoters(vms []control.VM, current []raft.NodeID, count int) []control.VM {
-	var chosen []control.VM
-	perDomain := map[string]int{}
-	take := func(vm control.VM) {
-		chosen = append(chosen, vm)
-		perDomain[vm.FailureDomain]++
-	}
+	var chosen, rest []control.VM
 	for _, vm := range vms {
-		if vm.HasDisk && len(chosen) < count && slices.Contains(current, raft.NodeID(vm.Node)) {
-			take(vm)
+		switch {
+		case !vm.HasDisk:
+		case len(chosen) < count && slices.Contains(current, raft.NodeID(vm.Node)):
+			chosen = append(chosen, vm)
+		default:
+			rest = append(rest, vm)
 		}
 	}
-	for len(chosen) < count {
-		best := -1
-		for i, vm := range vms {
-			if !vm.HasDisk || slices.Contains(chosen, vm) {
-				continue
-			}
-			if best < 0 || perDomain[vm.FailureDomain] < perDomain[vms[best].FailureDomain] {
+	for len(chosen) < count && len(rest) > 0 {
+		best := 0
+		for i := range rest {
+			if crowding(chosen, rest[i]) < crowding(chosen, rest[best]) {
 				best = i
 			}
 		}
-		if best < 0 {
-			break
-		}
-		take(vms[best])
+		chosen = append(chosen, rest[best])
+		rest = slices.Delete(rest, best, best+1)
 	}
 	return chosen
 }
 
+// crowding ranks a candidate by the voters in its region and then in its failure domain.
+func crowding(chosen []control.VM, vm control.VM) int {
+	region, domain := 0, 0
+	for _, c := range chosen {
+		if c.Region == vm.Region {
+			region++
+		}
+		if c.FailureDomain == vm.FailureDomain {
+			domain++
+		}
+	}
+	return region*(len(chosen)+1) + domain
+}
+
 // planPartitions proposes the assignments that differ from the plan, one at a time.
 func (c *controlHost) planPartitions(now time.Duration) {
 	existing := c.state.Partitions()
