--- a/control/encoding.go
+++ b/control/encoding.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/oleanderchute/oleanderchute/internal/codec"
+)
 
 // maxArrayElements bounds each array and map of a command or snapshot, so that a damaged
 // length field cannot claim more memory than the data could fill. It leaves room for 64
@@ -8,31 +12,15 @@
 const maxArrayElements = 1 << 16
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
+	encMode = codec.Deterministic
+	decMode = codec.Must(cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		MaxArrayElements:  maxArrayElements,
 		MaxMapPairs:       maxArrayElements,
 		IndefLength:       cbor.IndefLengthForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
+	}.DecMode())
+)
 
 // mustEncode encodes a value of this package's own types, which cannot fail.
 func mustEncode(v any) []byte {
--- a/partition/snapshot.go
+++ b/partition/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/fxamacker/cbor/v2"
+
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/internal/codec"
 	"github.com/pkg/errors"
 )
 
@@ -29,18 +31,18 @@
 	return encode(snapshot{Version: snapshotVersion, NextIndex: p.nextIndex, Records: records, Epoch: p.epoch})
 }
 
+// snapshotMode has no bound of its own on the number of records: a snapshot is checked by
+// the storage's checksum before it gets here.
+var snapshotMode = codec.Must(cbor.DecOptions{MaxArrayElements: 1 << 30}.DecMode())
+
 // Restore replaces the records by those of a snapshot. It returns an error and changes
 // nothing if data is not a snapshot or this replica is the owner.
 func (p *Partition) Restore(data []byte) error {
 	if p.owner != nil {
 		return errors.New("partition: restore while owner")
 	}
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 30}.DecMode()
-	if err != nil {
-		return errors.Wrap(err, "partition: decoder")
-	}
 	var s snapshot
-	if err := mode.Unmarshal(data, &s); err != nil {
+	if err := snapshotMode.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "partition: snapshot")
 	}
 	if s.Version != snapshotVersion {
--- a/server/cluster.go
+++ b/server/cluster.go
@@ -157,18 +157,11 @@
 
 // keepJoined registers this VM until the control state shows it.
 func (s *Server) keepJoined(ctx context.Context) {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, joinInterval, func() {
 		if !s.isRegistered() {
 			s.join(ctx)
 		}
-	}
+	})
 }
 
 func (s *Server) isRegistered() bool {
--- a/server/loop.go
+++ b/server/loop.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// every calls fn at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			fn()
+		}
+	}
+}
+
 // run handles events until ctx ends. After each batch of events and on each tick it
 // calls step.
 func (l *loop) run(ctx context.Context, step func(now time.Duration)) {
--- a/server/problems.go
+++ b/server/problems.go
@@ -97,18 +97,11 @@
 
 // watchProblems keeps the problem log and its metric current.
 func (s *Server) watchProblems(ctx context.Context) {
-	ticker := time.NewTicker(problemInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, problemInterval, func() {
 		s.problems.refresh(s.view.Load().resolver)
 		s.metrics.problems.Reset()
 		for _, p := range s.problems.list() {
 			s.metrics.problems.WithLabelValues(p.Kind).Inc()
 		}
-	}
+	})
 }
--- a/slo/codec.go
+++ b/slo/codec.go
@@ -7,6 +7,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/oleanderchute/oleanderchute/internal/codec"
 	"github.com/pkg/errors"
 )
 
@@ -41,21 +43,14 @@
 	Counts []int64
 }
 
-var encMode = must(cbor.CoreDetEncOptions().EncMode())
+var encMode = codec.Deterministic
 
 // decMode bounds the arrays: a histogram has less than 2,500 positions.
-var decMode = must(cbor.DecOptions{
+var decMode = codec.Must(cbor.DecOptions{
 	MaxArrayElements: 8192, MaxMapPairs: 4 * MaxObjectives, MaxNestedLevels: 16,
 	DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 }.DecMode())
 
-func must[M any](m M, err error) M {
-	if err != nil {
-		panic(err) // the options above are invalid
-	}
-	return m
-}
-
 // Snapshot copies the samples of all objectives.
 func (s *Set) Snapshot() Snapshot {
 	out := Snapshot{}
--- a/storage/record.go
+++ b/storage/record.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/oleanderchute/oleanderchute/internal/codec"
 	"github.com/oleanderchute/oleanderchute/raft"
 	"github.com/pkg/errors"
 )
@@ -35,25 +35,11 @@
 	LastIndex uint64         `cbor:"3,keyasint"`
 }
 
-const maxArrayElements = 1 << 24
-
-var (
-	encMode = mustMode(cbor.EncOptions{}.UserBufferEncMode())
-	decMode = mustMode(cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode())
-)
-
-func mustMode[M any](m M, err error) M {
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // appendFrame encodes v as a frame at the end of buf.
 func appendFrame(buf *bytes.Buffer, v any, salt, seq uint64) error {
 	start := buf.Len()
 	buf.Write(make([]byte, frameHeader))
-	if err := encMode.MarshalToBuffer(v, buf); err != nil {
+	if err := codec.Encode.MarshalToBuffer(v, buf); err != nil {
 		return errors.Wrap(err, "encode record")
 	}
 	b := buf.Bytes()[start:]
@@ -66,6 +52,6 @@
 
 func decodeRecord(payload []byte) (record, error) {
 	var r record
-	err := decMode.Unmarshal(payload, &r)
+	err := codec.Decode.Unmarshal(payload, &r)
 	return r, err
 }
--- a/transport/codec.go
+++ b/transport/codec.go
@@ -6,24 +6,10 @@
 	"net/rpc"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/oleanderchute/oleanderchute/internal/codec"
 	"github.com/pkg/errors"
 )
 
-const maxArrayElements = 1 << 24
-
-var (
-	encMode = mustMode(cbor.EncOptions{}.UserBufferEncMode())
-	decMode = mustMode(cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode())
-)
-
-func mustMode[M any](m M, err error) M {
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // envelope goes before the body of each message.
 type envelope struct {
 	Seq    uint64 `cbor:"1,keyasint"`
@@ -36,10 +22,10 @@
 
 func encodeMessage(e envelope, body any) ([]byte, error) {
 	var buf bytes.Buffer
-	if err := encMode.MarshalToBuffer(e, &buf); err != nil {
+	if err := codec.Encode.MarshalToBuffer(e, &buf); err != nil {
 		return nil, err
 	}
-	if err := encMode.MarshalToBuffer(body, &buf); err != nil {
+	if err := codec.Encode.MarshalToBuffer(body, &buf); err != nil {
 		return nil, err
 	}
 	return buf.Bytes(), nil
@@ -55,7 +41,7 @@
 func (r *receiver) next(stop <-chan struct{}) (e envelope, err error) {
 	select {
 	case data := <-r.link.in:
-		r.body, err = decMode.UnmarshalFirst(data, &e)
+		r.body, err = codec.Decode.UnmarshalFirst(data, &e)
 		return e, errors.Wrap(err, "decode envelope")
 	case <-r.link.done:
 		return e, io.EOF
@@ -68,7 +54,7 @@
 	if into == nil {
 		return nil
 	}
-	return decMode.Unmarshal(r.body, into)
+	return codec.Decode.Unmarshal(r.body, into)
 }
 
 // clientCodec implements rpc.ClientCodec over a link.
@@ -120,7 +106,7 @@
 		var e envelope
 		var err error
 		c.isLocal = false
-		c.body, err = decMode.UnmarshalFirst(data, &e)
+		c.body, err = codec.Decode.UnmarshalFirst(data, &e)
 		r.Seq, r.Error = e.Seq, e.Error
 		if e.NotRun {
 			c.refused.Store(e.Seq, true)
