--- /dev/null
+++ b/transport/fuzz_test.go
@@ -0,0 +1,49 @@
+package transport
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/oleanderchute/oleanderchute/internal/codec"
+	"github.com/oleanderchute/oleanderchute/raft"
+)
+
+// FuzzPeerInput guards against bytes of a peer that stop the process: chunk headers, the
+// envelope of a message, and a batch of raft messages.
+func FuzzPeerInput(f *testing.F) {
+	batch, err := codecBytes([]raft.Message{{Kind: raft.MsgAppend, Group: "control", From: "a#1", To: "b#1", Term: 3}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	call, err := encodeMessage(envelope{Seq: 7, Method: "Cluster.Known"}, Empty{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(chunk{kind: chunkData, last: true, number: 16}.append(nil))
+	f.Add(batch)
+	f.Add(call)
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if c, err := readChunk(bytes.NewReader(data)); err == nil && c.kind == chunkData && c.number > chunkBytes {
+			t.Fatalf("a chunk of %d bytes was accepted", c.number)
+		}
+		var e envelope
+		if rest, err := codec.Decode.UnmarshalFirst(data, &e); err == nil {
+			_ = codec.Decode.Unmarshal(rest, &Empty{}) // any error is fine, a panic is not
+		}
+		done := make(chan struct{})
+		s := &RaftService{deliver: func([]raft.Message) {}}
+		_ = s.Deliver(&RaftBatch{Payload: data, done: done}, &Empty{})
+		select {
+		case <-done:
+		default:
+			t.Fatal("the batches behind an undecodable one would wait for ever")
+		}
+	})
+}
+
+func codecBytes(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	err := codec.Encode.MarshalToBuffer(v, &buf)
+	return buf.Bytes(), err
+}
