--- a/server/server.go
+++ b/server/server.go
@@ -14,11 +14,11 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderchute/oleanderchute/control"
 	"github.com/oleanderchute/oleanderchute/partition"
-	"github.com/oleanderchute/oleanderchute/placement"
 	"github.com/oleanderchute/oleanderchute/raft"
 	"github.com/oleanderchute/oleanderchute/storage"
 )
@@ -102,21 +102,16 @@
 // Run serves until ctx ends, then drains and returns. It returns early with an error
 // when a listener cannot be opened or the data folder cannot be read.
 func (s *Server) Run(ctx context.Context) error {
-	httpListener, err := net.Listen("tcp", s.settings.HTTPAddress)
+	httpListener, peerListener, err := s.listen()
 	if err != nil {
-		return errors.Wrapf(err, "--http-address=%s cannot be used", s.settings.HTTPAddress)
-	}
-	peerListener, err := net.Listen("tcp", s.settings.PeerAddress)
-	if err != nil {
-		httpListener.Close()
-		return errors.Wrapf(err, "--peer-address=%s cannot be used", s.settings.PeerAddress)
+		return err
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	web := s.newHTTPServer()
 	g.Go(func() error { return s.peers.serve(work, peerListener) })
-	g.Go(func() error { return serveHTTP(web, &countedListener{httpListener, &s.httpBytes}) })
+	g.Go(func() error { return serveHTTP(web, httpListener) })
 	g.Go(func() error { s.loop.run(work, s.step); return nil })
 	g.Go(func() error { return s.start(work) })
 	g.Go(func() error { s.watchProblems(work); return nil })
@@ -139,6 +134,22 @@
 	return err
 }
 
+// listen opens both listeners. More connections than --max-connections wait to be
+// accepted on the HTTP listener; the peer listener closes them.
+func (s *Server) listen() (web, peer net.Listener, err error) {
+	web, err = net.Listen("tcp", s.settings.HTTPAddress)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "--http-address=%s cannot be used", s.settings.HTTPAddress)
+	}
+	peer, err = net.Listen("tcp", s.settings.PeerAddress)
+	if err != nil {
+		web.Close()
+		return nil, nil, errors.Wrapf(err, "--peer-address=%s cannot be used", s.settings.PeerAddress)
+	}
+	limited := netutil.LimitListener(web, s.settings.MaxConnections)
+	return &countedListener{limited, &s.httpBytes}, peer, nil
+}
+
 func serveHTTP(web *http.Server, l net.Listener) error {
 	if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.WithStack(err)
@@ -247,83 +258,6 @@
 	return out
 }
 
-// hostPartitions opens the partition groups that this VM is a replica of.
-func (s *Server) hostPartitions(now time.Duration) {
-	for _, p := range s.control.state.Partitions() {
-		if s.partitions[p.Name] == nil && isReplica(p, s.self) {
-			if err := s.hostPartition(p); err != nil {
-				s.log.Error("partition cannot be opened", zap.String("partition", p.Name), zap.Error(err))
-			}
-		}
-	}
-}
-
-func isReplica(p control.Partition, vm control.VM) bool {
-	for _, r := range p.Replicas {
-		if r.Node == vm.Node {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Server) hostPartition(p control.Partition) error {
-	name := groupOfPartition(p.Name)
-	st, rec, err := s.openStore(name)
-	if err != nil {
-		return err
-	}
-	cfg := s.raftConfig(name)
-	if isFirstStart(rec) {
-		cfg.Voters = initialVoters(p, s.self)
-	}
-	if s.settings.Region != p.Name {
-		cfg.ElectionDelay = foreignElectionDelay
-	}
-	h := &hosted{s: s, name: p.Name, waiters: map[partition.WaiterID]chan StatusReply{}}
-	h.core = partition.New(partition.Config{Name: p.Name, Seed: cfg.Seed}, func() partition.Scheduler {
-		return placement.New(placement.Config{Seed: cfg.Seed, LocalRegion: p.Name})
-	})
-	h.group = s.openGroup(cfg, st, rec, h)
-	s.partitions[p.Name] = h
-	return nil
-}
-
-// foreignElectionDelay makes replicas outside the home region stand later, so that the
-// owner normally sits beside its workers.
-const foreignElectionDelay = 700 * time.Millisecond
-
-// initialVoters returns the first members of a partition group if this VM is one of
-// them; a later replica starts empty and learns the members from the leader.
-func initialVoters(p control.Partition, self control.VM) []raft.NodeID {
-	var out []raft.NodeID
-	mine := false
-	for _, r := range p.Initial {
-		out = append(out, raft.NodeID(r.Node))
-		mine = mine || r.Node == self.Node
-	}
-	if !mine {
-		return nil
-	}
-	return out
-}
-
-// reconcilePartitions brings the members of each partition that this VM leads to what
-// the control state assigns.
-func (s *Server) reconcilePartitions(now time.Duration) {
-	for _, p := range s.control.state.Partitions() {
-		h := s.partitions[p.Name]
-		if h == nil {
-			continue
-		}
-		var want wantedMembers
-		for _, r := range p.Replicas {
-			want.voters = append(want.voters, raft.NodeID(r.Node))
-		}
-		h.group.reconcile(now, want)
-	}
-}
-
 // tablesChanged tells the partitions and checks the new tables.
 func (s *Server) tablesChanged(now time.Duration) {
 	tables := s.control.state.Tables()
