demo: stop the processes when the output pipe is closed

Cause: make demo piped into head ended by SIGPIPE and left seven processes running. Change: SIGPIPE is ignored, so the run goes on to its end and stops them.

--- a/demo/main.go
+++ b/demo/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -26,6 +27,9 @@
 func main() {
 	bin := flag.String("bin", "bin", "folder with the programs oleanderchute and standin-worker")
 	flag.Parse()
+	// Without this a closed pipe, as in "make demo | head", would end the process before
+	// it has stopped the ones that it started.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
