integration: gangs that lose a worker

Cause: gangs had run through the daemon only by hand. Change: TestGangLosesAWorker kills a worker while tasks of a gang run.

--- /dev/null
+++ b/integration/gang_test.go
@@ -0,0 +1,102 @@
+package integration
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/standin"
+)
+
+const (
+	kindGang = "train"
+	// gangTasks need both workers of the pool, which have 6 slots each.
+	gangTasks = 8
+	gangCount = 6
+	// gangRun leaves time to kill a worker while tasks run.
+	gangRun = 400 * time.Millisecond
+)
+
+// Guards against a gang that is told as done without all its tasks, runs in part, or is
+// started again beside its former attempt when one of its workers dies.
+func TestGangLosesAWorker(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cl := newCluster(c)
+	with := tables()
+	with.Routes = append(with.Routes, api.Route{Name: kindGang, Pool: poolNorth, Workload: api.WorkloadGang})
+	awaitVersion(c, cl.vms, cl.apply(with, 0), spreadBound)
+	cl.startWorkers()
+
+	ledger := newLedger()
+	var submits []func()
+	for i := range gangCount {
+		submits = append(submits, func() { cl.submitGang(ledger, i) })
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); group(submits...) }()
+	w := cl.worker("w1")
+	waitFor(c, "a task of a gang on w1", settleBound, func() bool { return len(w.starts()) > 0 })
+	w.kill()
+	waitFor(c, "w1 is seen as lost", silenceBound+2*leaseLength, func() bool {
+		st, ok := cl.workerStates()["w1"]
+		return !ok || st.State != "ready"
+	})
+	w.start()
+	cl.awaitWorkers(readyBound + leaseLength)
+	<-done
+	a := cl.settle(ledger)
+	c.Check(a.done+a.unknown+a.failed, qt.Equals, gangCount)
+	c.Check(a.done >= gangCount/2, qt.IsTrue, qt.Commentf("idempotent gangs are placed again: %s", a))
+	cl.checkGangEnds(ledger)
+}
+
+// submitGang submits one gang, every second one non-idempotent.
+func (cl *cluster) submitGang(l *ledger, i int) {
+	key := fmt.Sprintf("gang%d", i)
+	r := newRequest("trainer", key, kindGang, i%2 == 1, program{RunMillis: gangRun.Milliseconds(), Answer: key})
+	r.Tasks = gangTasks
+	e := l.add(r, gangAnswer(key))
+	start := time.Now()
+	st, err := cl.caller(i).Submit(within(cl.c, settleBound), r)
+	l.told(e, st, time.Since(start), err)
+}
+
+// gangAnswer is the answer of a gang whose tasks all answer with text.
+func gangAnswer(text string) []byte {
+	var parts []string
+	for range gangTasks {
+		parts = append(parts, base64.StdEncoding.EncodeToString([]byte(text)))
+	}
+	data, err := json.Marshal(parts)
+	if err != nil {
+		panic(err) // a list of strings is always encoded
+	}
+	return data
+}
+
+// checkGangEnds checks that every task of a gang told as done ran to its end once.
+func (cl *cluster) checkGangEnds(l *ledger) {
+	cl.c.Helper()
+	ended := map[api.TaskID]int{}
+	for _, w := range cl.workers {
+		for _, e := range w.events(standin.EventEnd) {
+			id := e.Task()
+			id.Attempt = 0
+			ended[id]++
+		}
+	}
+	for key, st := range cl.outcomes(l) {
+		for i := range gangTasks {
+			id := api.TaskID{RequestKey: key, Index: i}
+			if st.State == api.StateDone && ended[id] == 0 {
+				cl.c.Errorf("%s is done and its task %d never ended", key, i)
+			}
+		}
+	}
+}
