--- a/integration/proxy_test.go
+++ b/integration/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	qt "github.com/frankban/quicktest"
@@ -14,13 +15,14 @@
 type hop struct {
 	address  string
 	up, down *faultToxic
+	proxy    *toxiproxy.Proxy
 }
 
 func newHop(c *qt.C, name, upstream string) *hop {
 	c.Helper()
 	api := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	proxy := toxiproxy.NewProxy(api, name, freeAddress(c, "127.0.0.1"), upstream)
-	h := &hop{address: proxy.Listen, up: addFault(c, proxy, "upstream"), down: addFault(c, proxy, "downstream")}
+	h := &hop{proxy: proxy, address: proxy.Listen, up: addFault(c, proxy, "upstream"), down: addFault(c, proxy, "downstream")}
 	c.Assert(proxy.Start(), qt.IsNil)
 	c.Cleanup(proxy.Stop)
 	return h
@@ -33,6 +35,17 @@
 	return wrapper.Toxic.(*faultToxic)
 }
 
+// delay adds a latency to each direction, in whole milliseconds.
+func (h *hop) delay(c *qt.C, latency time.Duration) {
+	c.Helper()
+	for _, direction := range []string{"upstream", "downstream"} {
+		text := fmt.Sprintf(`{"name":"latency-%s","type":"latency","stream":%q,"attributes":{"latency":%d}}`,
+			direction, direction, latency.Milliseconds())
+		_, err := h.proxy.Toxics.AddToxicJson(strings.NewReader(text))
+		c.Assert(err, qt.IsNil)
+	}
+}
+
 // silence makes the present connections lose all further data while new ones pass.
 func (h *hop) silence() {
 	h.up.silenced.Add(1)
