server: one walk over the candidates for a leader; groups found by name

Cause: submits, calls to owners and changes each had a loop of their own over the VMs to ask; each raft message built a list of all groups to find one; forward took its arguments as a function although they never change; two tests waited for a lost worker alike. Change: type candidates; groupNamed looks the group up; awaitLost in the tests.

--- a/integration/gang_test.go
+++ b/integration/gang_test.go
@@ -43,10 +43,7 @@
 	w := cl.worker("w1")
 	waitFor(c, "a task of a gang on w1", settleBound, func() bool { return len(w.starts()) > 0 })
 	w.kill()
-	waitFor(c, "w1 is seen as lost", silenceBound+2*leaseLength, func() bool {
-		st, ok := cl.workerStates()["w1"]
-		return !ok || st.State != "ready"
-	})
+	cl.awaitLost("w1")
 	w.start()
 	cl.awaitWorkers(readyBound + leaseLength)
 	<-done
--- a/integration/workerloss_test.go
+++ b/integration/workerloss_test.go
@@ -43,13 +43,19 @@
 	w := cl.worker(name)
 	cl.waitSent(s, 40)
 	w.kill()
+	cl.awaitLost(name)
+	cl.waitSent(s, 20)
+	w.start(extra...)
+	cl.awaitWorkers(readyBound + leaseLength)
+}
+
+// awaitLost waits until the owner sees that a worker no longer answers.
+func (cl *cluster) awaitLost(name string) {
+	cl.c.Helper()
 	waitFor(cl.c, name+" is seen as lost", silenceBound+2*leaseLength, func() bool {
 		st, ok := cl.workerStates()[name]
 		return !ok || st.State != "ready"
 	})
-	cl.waitSent(s, 20)
-	w.start(extra...)
-	cl.awaitWorkers(readyBound + leaseLength)
 }
 
 // leaveBound is the promise for a worker that is leaving (G6).
--- a/server/control.go
+++ b/server/control.go
@@ -14,8 +14,11 @@
 // groupControl is the name of the control group.
 const groupControl = "control"
 
+// partitionPrefix goes before a partition's name in the name of its group.
+const partitionPrefix = "partition-"
+
 // groupOfPartition returns the name of a partition's group.
-func groupOfPartition(name string) string { return "partition-" + name }
+func groupOfPartition(name string) string { return partitionPrefix + name }
 
 // controlHost is this VM's member of the control group. Owned by the control goroutine.
 type controlHost struct {
--- a/server/forward.go
+++ b/server/forward.go
@@ -18,7 +18,7 @@
 // query and cancel are keyed, so a call whose fate is uncertain may be repeated. After
 // an uncertain call no refusal counts as proof that nothing runs, since the first copy
 // may still arrive.
-func (s *Server) forward(ctx context.Context, home, method string, args func() any, wait time.Duration) StatusReply {
+func (s *Server) forward(ctx context.Context, home, method string, args any, wait time.Duration) StatusReply {
 	end := time.Now().Add(wait + forwardFor)
 	uncertain := false
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -39,18 +39,11 @@
 
 // tryCandidates asks each VM that may be the owner once. sent is true when a call may
 // have been executed without an answer.
-func (s *Server) tryCandidates(ctx context.Context, home, method string, args func() any, wait time.Duration) (reply StatusReply, sent, ok bool) {
-	tried := map[string]bool{}
-	candidates := s.leaderCandidates(s.view.Load(), home)
-	for len(candidates) > 0 {
-		vm := candidates[0]
-		candidates = candidates[1:]
-		if tried[vm] {
-			continue
-		}
-		tried[vm] = true
+func (s *Server) tryCandidates(ctx context.Context, home, method string, args any, wait time.Duration) (reply StatusReply, sent, ok bool) {
+	candidates := s.leaderCandidates(home)
+	for vm, more := candidates.next(); more; vm, more = candidates.next() {
 		reply = StatusReply{}
-		err := s.callVM(ctx, vm, method, args(), &reply, wait+waiterGrace+callTimeout)
+		err := s.callVM(ctx, vm, method, args, &reply, wait+waiterGrace+callTimeout)
 		if err != nil {
 			s.hints.set(home, "")
 			sent = sent || isUncertain(err)
@@ -65,9 +58,7 @@
 			s.hints.set(home, vm)
 			return reply, sent, true
 		}
-		if reply.Leader != "" && !tried[reply.Leader] {
-			candidates = append([]string{reply.Leader}, candidates...)
-		}
+		candidates.hint(reply.Leader)
 	}
 	return StatusReply{}, sent, false
 }
--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -55,7 +55,7 @@
 	home := args.Partition
 	end := time.Now().Add(wait)
 	args.Wait = min(wait, maxRPCWait)
-	reply := s.forward(ctx, home, servicePartition+".Submit", func() any { return args }, args.Wait)
+	reply := s.forward(ctx, home, servicePartition+".Submit", args, args.Wait)
 	key := api.RequestKey{Caller: args.Request.Caller, Key: args.Request.Key}
 	return s.awaitOutcome(ctx, home, key, reply, end)
 }
@@ -68,7 +68,7 @@
 			return reply
 		}
 		args := KeyArgs{Partition: home, Key: key, Wait: min(left, s.waitChunk())}
-		next := s.forward(ctx, home, servicePartition+".Query", func() any { return args }, args.Wait)
+		next := s.forward(ctx, home, servicePartition+".Query", args, args.Wait)
 		if next.Err != nil && next.Err.Code != api.CodeUnavailable && next.Err.Code != api.CodeUnknownResult {
 			return next
 		}
@@ -143,7 +143,7 @@
 	defer done()
 	end := time.Now().Add(wait)
 	args := KeyArgs{Partition: home, Key: key, Wait: min(wait, maxRPCWait)}
-	reply := s.forward(r.Context(), home, method, func() any { return args }, args.Wait)
+	reply := s.forward(r.Context(), home, method, args, args.Wait)
 	s.answer(w, s.sloQueried(key, r.URL.Query().Get("kind"), s.awaitOutcome(r.Context(), home, key, reply, end)))
 }
 
--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -60,7 +60,8 @@
 	end := time.Now().Add(forwardFor)
 	uncertain := false
 	for time.Now().Before(end) && ctx.Err() == nil {
-		for _, vm := range s.controlCandidates() {
+		candidates := newCandidates(s.hints.get(groupControl), s.peerNames())
+		for vm, more := candidates.next(); more; vm, more = candidates.next() {
 			var reply ApplyReply
 			err := s.callVM(ctx, vm, serviceCluster+".Apply", args, &reply, applyTimeout+callTimeout)
 			uncertain = uncertain || isUncertain(err)
@@ -77,20 +78,6 @@
 	return ApplyReply{Err: api.Errorf(api.CodeUnavailable, "no control leader at the moment; the change was not accepted")}
 }
 
-// controlCandidates returns all VMs, the likely control leader first.
-func (s *Server) controlCandidates() []string {
-	out := []string{}
-	if leader := s.hints.get(groupControl); leader != "" {
-		out = append(out, leader)
-	}
-	for _, vm := range s.peerNames() {
-		if len(out) == 0 || vm != out[0] {
-			out = append(out, vm)
-		}
-	}
-	return out
-}
-
 // handleProblems serves GET /v1/problems: the problems that any VM knows.
 func (s *Server) handleProblems(w http.ResponseWriter, r *http.Request) {
 	var mu sync.Mutex
@@ -214,15 +201,8 @@
 // hints, and reports whether the owner answered. Each call gets a fresh reply, since gob
 // leaves fields alone that are zero in the answer.
 func callOwner[R ownerAnswer](ctx context.Context, s *Server, home, method string, args any) (R, bool) {
-	candidates := s.leaderCandidates(s.view.Load(), home)
-	tried := map[string]bool{}
-	for len(candidates) > 0 {
-		vm := candidates[0]
-		candidates = candidates[1:]
-		if tried[vm] {
-			continue
-		}
-		tried[vm] = true
+	candidates := s.leaderCandidates(home)
+	for vm, more := candidates.next(); more; vm, more = candidates.next() {
 		var reply R
 		if err := s.callVM(ctx, vm, method, args, &reply, callTimeout); err != nil {
 			s.hints.set(home, "")
@@ -232,9 +212,7 @@
 			s.hints.set(home, vm)
 			return reply, true
 		}
-		if leader := reply.owner().Leader; leader != "" {
-			candidates = append([]string{leader}, candidates...)
-		}
+		candidates.hint(reply.owner().Leader)
 	}
 	var none R
 	return none, false
--- a/server/peers.go
+++ b/server/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,14 +133,17 @@
 	})
 }
 
+// groupNamed returns the group if this VM is a member of it, else nil.
 func (s *Server) groupNamed(name string) *group {
 	if s.control == nil {
 		return nil
 	}
-	for _, g := range s.groups() {
-		if g.name == name {
-			return g
-		}
+	if name == groupControl {
+		return s.control.group
+	}
+	partition, ok := strings.CutPrefix(name, partitionPrefix)
+	if h := s.partitions[partition]; ok && h != nil {
+		return h.group
 	}
 	return nil
 }
--- a/server/view.go
+++ b/server/view.go
@@ -69,17 +69,3 @@
 		s.confirmedAt.Store(int64(at))
 	}
 }
-
-// leaderCandidates returns the VMs to ask for a partition, the likely leader first.
-func (s *Server) leaderCandidates(v *view, partition string) []string {
-	var out []string
-	if leader := s.hints.get(partition); leader != "" {
-		out = append(out, leader)
-	}
-	for _, vm := range v.partitions[partition] {
-		if len(out) == 0 || vm != out[0] {
-			out = append(out, vm)
-		}
-	}
-	return out
-}
