--- a/server/reconcile.go
+++ b/replica/reconcile.go
@@ -1,4 +1,4 @@
-package server
+package replica
 
 import (
 	"slices"
@@ -10,29 +10,29 @@
 	"github.com/oleanderchute/oleanderchute/raft"
 )
 
-// reconcileInterval is how often a leader compares the membership it wants with the
+// ReconcileInterval is how often a leader compares the membership it wants with the
 // one in force. One change at a time is proposed.
-const reconcileInterval = 200 * time.Millisecond
+const ReconcileInterval = 200 * time.Millisecond
 
-// vmOf returns the VM name of a node identity.
-func vmOf(id raft.NodeID) string {
+// VMOf returns the VM name of a node identity.
+func VMOf(id raft.NodeID) string {
 	name, _, _ := strings.Cut(string(id), "#")
 	return name
 }
 
-// wantedMembers is the membership that a group should reach.
-type wantedMembers struct {
-	voters   []raft.NodeID
-	learners []raft.NodeID
+// WantedMembers is the membership that a group should reach.
+type WantedMembers struct {
+	Voters   []raft.NodeID
+	Learners []raft.NodeID
 }
 
-// nextChange returns the next single step from have to want: bring in every wanted
+// NextChange returns the next single step from have to want: bring in every wanted
 // member as a learner, drop learners that are not wanted, then exchange the voters one by
 // one. A replaced voter is dropped before its successor is promoted, since a group of
 // three with one dead voter and a fourth voter would need three of four; the next voter
 // is dropped only after that promotion, so at most one vote is missing at a time.
-func nextChange(have raft.Membership, want wantedMembers) (raft.Change, bool) {
-	all := slices.Concat(want.voters, want.learners)
+func NextChange(have raft.Membership, want WantedMembers) (raft.Change, bool) {
+	all := slices.Concat(want.Voters, want.Learners)
 	for _, id := range all {
 		if !have.IsMember(id) {
 			return raft.Change{Kind: raft.AddLearner, ID: id}, true
@@ -43,7 +43,7 @@
 			return raft.Change{Kind: raft.RemoveMember, ID: id}, true
 		}
 	}
-	if len(have.Voters) < len(want.voters) {
+	if len(have.Voters) < len(want.Voters) {
 		return promotion(have, want)
 	}
 	for _, id := range have.Voters {
@@ -54,8 +54,8 @@
 	return promotion(have, want)
 }
 
-func promotion(have raft.Membership, want wantedMembers) (raft.Change, bool) {
-	for _, id := range want.voters {
+func promotion(have raft.Membership, want WantedMembers) (raft.Change, bool) {
+	for _, id := range want.Voters {
 		if slices.Contains(have.Learners, id) {
 			return raft.Change{Kind: raft.PromoteLearner, ID: id}, true
 		}
@@ -67,16 +67,16 @@
 	return len(have.Voters) == 1 && have.Voters[0] == id
 }
 
-// reconcile proposes the next step if this node leads the group.
-func (g *group) reconcile(now time.Duration, want wantedMembers) {
-	if !g.leads(now) {
+// Reconcile proposes the next step if this node leads the group.
+func (g *Group) Reconcile(now time.Duration, want WantedMembers) {
+	if !g.Leads(now) {
 		return
 	}
-	change, ok := nextChange(g.node.Status().Membership, want)
+	change, ok := NextChange(g.Node.Status().Membership, want)
 	if !ok {
 		return
 	}
-	if err := g.node.ProposeMembership(now, change); err != nil {
+	if err := g.Node.ProposeMembership(now, change); err != nil {
 		g.log.Debug("membership change not proposed yet", zap.Error(err), zap.String("node", string(change.ID)))
 		return
 	}
--- a/server/cluster.go
+++ b/server/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/control"
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // Empty is the argument of calls that need none.
@@ -42,14 +43,14 @@
 // Known tells whether this VM is a member of a cluster, for the guard of a bootstrap.
 func (c *clusterService) Known(_ Empty, reply *KnownReply) error {
 	return c.s.callLoop(func() {
-		reply.HasCluster = c.s.control != nil && len(c.s.control.group.node.Status().Membership.Voters) > 0
+		reply.HasCluster = c.s.control != nil && len(c.s.control.group.Node.Status().Membership.Voters) > 0
 	})
 }
 
 // Join registers a VM at the control leader.
 func (c *clusterService) Join(args JoinArgs, reply *OwnerReply) error {
 	return c.s.callLoop(func() {
-		now := c.s.loop.now()
+		now := c.s.loop.Now()
 		if !c.s.leadsControl(now) {
 			*reply = OwnerReply{NotOwner: true, Leader: c.s.controlLeader()}
 			return
@@ -62,8 +63,8 @@
 func (c *clusterService) Apply(args ApplyArgs, reply *ApplyReply) error {
 	done := make(chan ApplyReply, 1)
 	workers := c.s.knownWorkers(context.Background())
-	ok := c.s.loop.post(func() {
-		now := c.s.loop.now()
+	ok := c.s.loop.Post(func() {
+		now := c.s.loop.Now()
 		if !c.s.leadsControl(now) {
 			done <- ApplyReply{OwnerReply: OwnerReply{NotOwner: true, Leader: c.s.controlLeader()}}
 			return
@@ -73,7 +74,7 @@
 		})
 	})
 	if !ok {
-		return errStopped
+		return replica.ErrStopped
 	}
 	select {
 	case *reply = <-done:
@@ -107,18 +108,18 @@
 func (s *Server) callLoop(fn func()) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return s.loop.call(ctx, fn)
+	return s.loop.Call(ctx, fn)
 }
 
 func (s *Server) leadsControl(now time.Duration) bool {
-	return s.control != nil && s.control.group.leads(now)
+	return s.control != nil && s.control.group.Leads(now)
 }
 
 func (s *Server) controlLeader() string {
 	if s.control == nil {
 		return ""
 	}
-	return vmOf(s.control.group.node.Status().Leader)
+	return replica.VMOf(s.control.group.Node.Status().Leader)
 }
 
 // groupLeader returns the leader VM of a hosted partition, or "".
@@ -126,11 +127,11 @@
 	if h == nil {
 		return ""
 	}
-	return vmOf(h.group.node.Status().Leader)
+	return replica.VMOf(h.group.Node.Status().Leader)
 }
 
 func (s *Server) vmStatus() api.VMStatus {
-	now := s.loop.now()
+	now := s.loop.Now()
 	out := api.VMStatus{
 		VM: s.settings.VM, Region: s.settings.Region, FailureDomain: s.settings.FailureDomain,
 		Role: "joining", MayServe: s.mayServe(now), Reachable: true,
@@ -144,7 +145,7 @@
 }
 
 func (s *Server) controlRole() string {
-	st := s.control.group.node.Status()
+	st := s.control.group.Node.Status()
 	if len(st.Membership.Voters) == 0 {
 		return "joining"
 	}
@@ -157,7 +158,7 @@
 
 // keepJoined registers this VM until the control state shows it.
 func (s *Server) keepJoined(ctx context.Context) {
-	every(ctx, joinInterval, func() {
+	replica.Every(ctx, joinInterval, func() {
 		if !s.isRegistered() {
 			s.join(ctx)
 		}
--- a/server/control.go
+++ b/server/control.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/control"
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // groupControl is the name of the control group.
@@ -23,7 +24,7 @@
 // controlHost is this VM's member of the control group. Owned by the control goroutine.
 type controlHost struct {
 	s     *Server
-	group *group
+	group *replica.Group
 	state *control.State
 	// waiting holds the proposals of this VM by log index until they are applied.
 	waiting map[uint64]proposal
@@ -35,8 +36,8 @@
 	done func(control.Result, bool)
 }
 
-// apply implements stateMachine.
-func (c *controlHost) apply(now time.Duration, e raft.Entry) {
+// Apply implements replica.StateMachine.
+func (c *controlHost) Apply(now time.Duration, e raft.Entry) {
 	before := c.state.Version()
 	result := c.state.Apply(e.Index, e.Data)
 	c.finishProposals(e, result)
@@ -47,16 +48,16 @@
 	}
 }
 
-func (c *controlHost) restore(data []byte) error {
+func (c *controlHost) Restore(data []byte) error {
 	c.s.changed = true
 	if err := c.state.Restore(data); err != nil {
 		return err
 	}
-	c.s.tablesChanged(c.s.loop.now())
+	c.s.tablesChanged(c.s.loop.Now())
 	return nil
 }
 
-func (c *controlHost) snapshot() []byte { return c.state.Snapshot() }
+func (c *controlHost) Snapshot() []byte { return c.state.Snapshot() }
 
 func (c *controlHost) finishProposals(e raft.Entry, result control.Result) {
 	p, ok := c.waiting[e.Index]
@@ -70,7 +71,7 @@
 // propose adds a command; done is called with the result and true once it is applied,
 // or with false when the entry at its index is another one.
 func (c *controlHost) propose(now time.Duration, data []byte, done func(control.Result, bool)) error {
-	index, term, err := c.group.node.Propose(now, data)
+	index, term, err := c.group.Node.Propose(now, data)
 	if err != nil {
 		return err
 	}
@@ -93,10 +94,10 @@
 // manage runs on the control leader: it registers VMs, plans partitions and brings the
 // membership of the control group to what is registered.
 func (c *controlHost) manage(now time.Duration) {
-	if !c.group.leads(now) {
+	if !c.group.Leads(now) {
 		return
 	}
-	c.group.reconcile(now, c.wantedMembers())
+	c.group.Reconcile(now, c.wantedMembers())
 	c.planPartitions(now)
 }
 
@@ -106,16 +107,16 @@
 
 // wantedMembers chooses the voters among VMs with a disk, keeping those that vote now
 // and spreading the others over the failure domains; all other VMs follow.
-func (c *controlHost) wantedMembers() wantedMembers {
+func (c *controlHost) wantedMembers() replica.WantedMembers {
 	vms := c.state.VMs()
-	current := c.group.node.Status().Membership.Voters
-	var want wantedMembers
+	current := c.group.Node.Status().Membership.Voters
+	var want replica.WantedMembers
 	for _, vm := range chooseVoters(vms, current, controlVoters) {
-		want.voters = append(want.voters, raft.NodeID(vm.Node))
+		want.Voters = append(want.Voters, raft.NodeID(vm.Node))
 	}
 	for _, vm := range vms {
-		if id := raft.NodeID(vm.Node); !slices.Contains(want.voters, id) {
-			want.learners = append(want.learners, id)
+		if id := raft.NodeID(vm.Node); !slices.Contains(want.Voters, id) {
+			want.Learners = append(want.Learners, id)
 		}
 	}
 	return want
--- a/server/hosted.go
+++ b/server/hosted.go
@@ -8,13 +8,14 @@
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/partition"
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // hosted is a replica of one partition on this VM. Owned by the control goroutine.
 type hosted struct {
 	s     *Server
 	name  string
-	group *group
+	group *replica.Group
 	core  *partition.Partition
 	// epoch is the raft term in which this replica became the owner; 0 if it is not.
 	epoch    uint64
@@ -25,29 +26,29 @@
 	suspended bool
 }
 
-// apply implements stateMachine.
-func (h *hosted) apply(now time.Duration, e raft.Entry) {
+// Apply implements replica.StateMachine.
+func (h *hosted) Apply(now time.Duration, e raft.Entry) {
 	h.do(now, h.core.Apply(now, e.Data))
 }
 
-func (h *hosted) restore(data []byte) error { return h.core.Restore(data) }
-func (h *hosted) snapshot() []byte          { return h.core.Snapshot() }
+func (h *hosted) Restore(data []byte) error { return h.core.Restore(data) }
+func (h *hosted) Snapshot() []byte          { return h.core.Snapshot() }
 
 // mayAct reports whether this replica is the owner and may act now. The lease is
 // checked against the time at each use, so a pause that nobody noticed is covered.
 func (h *hosted) mayAct(now time.Duration) bool {
-	return h.epoch != 0 && h.group.leads(now) && h.group.node.Status().Term == h.epoch
+	return h.epoch != 0 && h.group.Leads(now) && h.group.Node.Status().Term == h.epoch
 }
 
 // updateOwnership follows the raft node: it takes ownership once this replica leads
 // with a valid lease and gives it up when it no longer leads in that term. A lease that
 // lapses within one term only defers events, since no other node can lead that term.
 func (h *hosted) updateOwnership(now time.Duration) {
-	st := h.group.node.Status()
+	st := h.group.Node.Status()
 	if h.epoch != 0 && (st.Role != raft.RoleLeader || st.Term != h.epoch) {
 		h.loseOwnership(now)
 	}
-	if h.epoch == 0 && h.group.leads(now) {
+	if h.epoch == 0 && h.group.Leads(now) {
 		h.epoch = st.Term
 		h.s.log.Info("became owner of partition", zap.String("partition", h.name), zap.Uint64("epoch", h.epoch))
 		h.do(now, h.core.Step(now, partition.TablesChanged{Tables: h.s.control.state.Tables()}))
@@ -71,7 +72,7 @@
 	if h.epoch == 0 {
 		return
 	}
-	if !h.group.leads(now) {
+	if !h.group.Leads(now) {
 		h.deferred = append(h.deferred, ev)
 		return
 	}
@@ -129,7 +130,7 @@
 			h.s.workers.command(h, "/v1/stop", a.Worker, a.URL, a.Command, false)
 		case partition.OwnershipDisputed:
 			h.s.log.Warn("a worker has seen a higher epoch; stepping down", zap.String("partition", h.name), zap.Uint64("epoch", h.epoch))
-			h.group.node.StepDown()
+			h.group.Node.StepDown()
 		}
 	}
 }
@@ -137,15 +138,15 @@
 // propose adds a batch to the log, in the term of its epoch only: a later term may have
 // records that the batch was made without.
 func (h *hosted) propose(now time.Duration, a partition.Propose) {
-	if h.group.node.Status().Term == a.Epoch {
-		if _, _, err := h.group.node.Propose(now, a.Data); err == nil {
+	if h.group.Node.Status().Term == a.Epoch {
+		if _, _, err := h.group.Node.Propose(now, a.Data); err == nil {
 			return
 		}
 	}
 	epoch := h.epoch
-	h.s.loop.post(func() {
+	h.s.loop.Post(func() {
 		if h.epoch == epoch {
-			h.step(h.s.loop.now(), partition.ProposeFailed{Sequence: a.Sequence})
+			h.step(h.s.loop.Now(), partition.ProposeFailed{Sequence: a.Sequence})
 		}
 	})
 }
@@ -160,14 +161,14 @@
 }
 
 func (h *hosted) status() api.PartitionStatus {
-	st := h.group.node.Status()
+	st := h.group.Node.Status()
 	stats := h.core.Stats()
 	out := api.PartitionStatus{
-		Partition: h.name, Leader: vmOf(st.Leader), Epoch: st.Term,
+		Partition: h.name, Leader: replica.VMOf(st.Leader), Epoch: st.Term,
 		Workers: stats.Scheduler.Workers, Queued: stats.Scheduler.Queued, Running: stats.Scheduler.Running,
 	}
 	for _, id := range st.Membership.Voters {
-		out.Replicas = append(out.Replicas, vmOf(id))
+		out.Replicas = append(out.Replicas, replica.VMOf(id))
 	}
 	return out
 }
--- a/server/hosting.go
+++ b/server/hosting.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderchute/oleanderchute/partition"
 	"github.com/oleanderchute/oleanderchute/placement"
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // hostPartitions opens the partition groups that this VM is a replica of.
@@ -80,10 +81,10 @@
 		if h == nil {
 			continue
 		}
-		var want wantedMembers
+		var want replica.WantedMembers
 		for _, r := range p.Replicas {
-			want.voters = append(want.voters, raft.NodeID(r.Node))
+			want.Voters = append(want.Voters, raft.NodeID(r.Node))
 		}
-		h.group.reconcile(now, want)
+		h.group.Reconcile(now, want)
 	}
 }
--- a/server/http.go
+++ b/server/http.go
@@ -127,9 +127,9 @@
 	if !s.draining.CompareAndSwap(false, true) {
 		return
 	}
-	s.drainStarted.Store(int64(s.loop.now()))
+	s.drainStarted.Store(int64(s.loop.Now()))
 	s.log.Info("draining: no new work is taken")
-	s.loop.post(func() { s.handOver(s.loop.now()) })
+	s.loop.Post(func() { s.handOver(s.loop.Now()) })
 }
 
 // handOver transfers the leadership of every group that this VM leads.
@@ -138,7 +138,7 @@
 		return
 	}
 	for _, g := range s.groups() {
-		g.handOver(now)
+		g.HandOver(now)
 	}
 }
 
--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -16,7 +16,7 @@
 		s.refuse(w, err)
 		return
 	}
-	done, err := s.flood.admit(s.loop.now(), args.Route.Name, &args.Request)
+	done, err := s.flood.admit(s.loop.Now(), args.Route.Name, &args.Request)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -24,7 +24,7 @@
 	defer done()
 	wait := time.Duration(args.Request.WaitMillis) * time.Millisecond
 	reply := s.submit(r.Context(), args, wait)
-	s.flood.note(s.loop.now(), args.Route.Name, &args.Request, reply.Err)
+	s.flood.note(s.loop.Now(), args.Route.Name, &args.Request, reply.Err)
 	s.answer(w, s.sloSubmitted(args.Request, reply))
 }
 
@@ -89,7 +89,7 @@
 // drainEnds reports whether the drain timeout is nearly over.
 func (s *Server) drainEnds() bool {
 	started := s.drainStarted.Load()
-	return started != 0 && s.loop.now()-time.Duration(started) > s.settings.DrainTimeout-drainMargin
+	return started != 0 && s.loop.Now()-time.Duration(started) > s.settings.DrainTimeout-drainMargin
 }
 
 // waitChunk is how long one call between VMs waits for an outcome.
@@ -175,7 +175,7 @@
 // checkServing refuses new work while this VM is draining or does not know which
 // configuration is in force.
 func (s *Server) checkServing() *api.Error {
-	if s.mayServe(s.loop.now()) {
+	if s.mayServe(s.loop.Now()) {
 		return nil
 	}
 	err := api.Errorf(api.CodeUnavailable, "this VM cannot tell which configuration is in force; nothing was accepted, try another VM")
--- a/server/peers.go
+++ b/server/peers.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 	"github.com/oleanderchute/oleanderchute/transport"
 )
 
@@ -88,7 +89,7 @@
 
 // sendRaft queues a message for another VM; messages may be lost.
 func (p *peerSet) sendRaft(m raft.Message) {
-	if l := p.get(vmOf(m.To)); l != nil {
+	if l := p.get(replica.VMOf(m.To)); l != nil {
 		l.raft.Send(m)
 	}
 }
@@ -123,18 +124,18 @@
 
 // deliver hands raft messages to the nodes they are for.
 func (s *Server) deliver(messages []raft.Message) {
-	s.loop.post(func() {
-		now := s.loop.now()
+	s.loop.Post(func() {
+		now := s.loop.Now()
 		for _, m := range messages {
 			if g := s.groupNamed(m.Group); g != nil {
-				g.node.Step(now, m)
+				g.Node.Step(now, m)
 			}
 		}
 	})
 }
 
 // groupNamed returns the group if this VM is a member of it, else nil.
-func (s *Server) groupNamed(name string) *group {
+func (s *Server) groupNamed(name string) *replica.Group {
 	if s.control == nil {
 		return nil
 	}
--- a/server/problems.go
+++ b/server/problems.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/control"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // problemKeeper collects the problems that this VM meets. It is safe for concurrent use.
@@ -97,7 +98,7 @@
 
 // watchProblems keeps the problem log and its metric current.
 func (s *Server) watchProblems(ctx context.Context) {
-	every(ctx, problemInterval, func() {
+	replica.Every(ctx, problemInterval, func() {
 		s.problems.refresh(s.view.Load().resolver)
 		s.metrics.problems.Reset()
 		for _, p := range s.problems.list() {
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -131,8 +131,8 @@
 func (s *Server) onOwner(name string, reply *OwnerReply, fn func(h *hosted, now time.Duration)) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return s.loop.call(ctx, func() {
-		now := s.loop.now()
+	return s.loop.Call(ctx, func() {
+		now := s.loop.Now()
 		h := s.partitions[name]
 		if h == nil || !h.mayAct(now) {
 			*reply = OwnerReply{NotOwner: true, Leader: s.groupLeader(h)}
@@ -148,8 +148,8 @@
 	ch := make(chan StatusReply, 1)
 	var id partition.WaiterID
 	var owner *hosted
-	ok := s.loop.post(func() {
-		now := s.loop.now()
+	ok := s.loop.Post(func() {
+		now := s.loop.Now()
 		h := s.partitions[name]
 		if h == nil || !h.mayAct(now) {
 			ch <- StatusReply{NotOwner: true, Leader: s.groupLeader(h)}
@@ -166,9 +166,9 @@
 	case r := <-ch:
 		return r
 	case <-time.After(wait + waiterGrace):
-		s.loop.post(func() {
+		s.loop.Post(func() {
 			if owner != nil {
-				owner.dropWaiter(s.loop.now(), id)
+				owner.dropWaiter(s.loop.Now(), id)
 			}
 		})
 		return StatusReply{Err: api.Errorf(api.CodeUnknownResult, "no answer from the partition in time; ask again by key")}
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderchute/oleanderchute/control"
 	"github.com/oleanderchute/oleanderchute/partition"
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
 	"github.com/oleanderchute/oleanderchute/storage"
 )
 
@@ -27,7 +28,7 @@
 type Server struct {
 	settings Settings
 	log      *zap.Logger
-	loop     *loop
+	loop     *replica.Loop
 	self     control.VM
 	peers    *peerSet
 	workers  *workerCalls
@@ -60,7 +61,7 @@
 		return nil, err
 	}
 	log = log.With(zap.String("vm", settings.VM), zap.String("failure_domain", settings.FailureDomain))
-	l := newLoop()
+	l := replica.NewLoop()
 	s := &Server{
 		settings: settings, log: log, loop: l,
 		workers: newWorkerCalls(l), hints: newLeaderHints(), problems: newProblemKeeper(log),
@@ -112,7 +113,7 @@
 	web := s.newHTTPServer()
 	g.Go(func() error { return s.peers.serve(work, peerListener) })
 	g.Go(func() error { return serveHTTP(web, httpListener) })
-	g.Go(func() error { s.loop.run(work, s.step); return nil })
+	g.Go(func() error { s.loop.Run(work, s.step); return nil })
 	g.Go(func() error { return s.start(work) })
 	g.Go(func() error { s.watchProblems(work); return nil })
 	g.Go(func() error { s.slo.run(work); return nil })
@@ -175,7 +176,7 @@
 			cfg.Voters = []raft.NodeID{s.nodeID()}
 		}
 	}
-	if err := s.loop.call(ctx, func() { s.openControl(cfg, st, rec) }); err != nil {
+	if err := s.loop.Call(ctx, func() { s.openControl(cfg, st, rec) }); err != nil {
 		return s.abandon(st)
 	}
 	s.keepJoined(ctx)
@@ -184,8 +185,8 @@
 
 // abandon closes the store of a control group that was not opened because the daemon
 // stops. Whether it was opened is known once the control goroutine has ended.
-func (s *Server) abandon(st store) error {
-	<-s.loop.done
+func (s *Server) abandon(st replica.Store) error {
+	<-s.loop.Done()
 	if s.control != nil {
 		return nil
 	}
@@ -196,7 +197,7 @@
 	return rec.HardState == (raft.HardState{}) && rec.Snapshot.Index == 0 && len(rec.Entries) == 0
 }
 
-func (s *Server) openStore(name string) (store, raft.Recovered, error) {
+func (s *Server) openStore(name string) (replica.Store, raft.Recovered, error) {
 	if s.settings.DataDir == "" {
 		return storage.NewMemory(), raft.Recovered{}, nil
 	}
@@ -207,18 +208,18 @@
 	return raft.Config{ID: s.nodeID(), Group: name, Observer: s.settings.DataDir == "", Seed: seedOf(string(s.nodeID()) + name)}
 }
 
-func (s *Server) openControl(cfg raft.Config, st store, rec raft.Recovered) {
+func (s *Server) openControl(cfg raft.Config, st replica.Store, rec raft.Recovered) {
 	host := &controlHost{s: s, state: control.New(), waiting: map[uint64]proposal{}}
 	s.control = host
 	host.group = s.openGroup(cfg, st, rec, host)
 }
 
 // openGroup starts a raft node with what its store held.
-func (s *Server) openGroup(cfg raft.Config, st store, rec raft.Recovered, m stateMachine) *group {
-	node := raft.New(cfg, rec, s.loop.now())
-	g := newGroup(cfg.Group, node, st, m, s.loop, s.peers.sendRaft, s.log)
+func (s *Server) openGroup(cfg raft.Config, st replica.Store, rec raft.Recovered, m replica.StateMachine) *replica.Group {
+	node := raft.New(cfg, rec, s.loop.Now())
+	g := replica.NewGroup(cfg.Group, node, st, m, s.loop, s.peers.sendRaft, s.log)
 	if rec.Snapshot.Index > 0 {
-		g.restore(rec.Snapshot)
+		g.Restore(rec.Snapshot)
 	}
 	return g
 }
@@ -229,8 +230,8 @@
 		return
 	}
 	for _, g := range s.groups() {
-		g.node.Tick(now)
-		g.pump(now)
+		g.Node.Tick(now)
+		g.Pump(now)
 	}
 	s.publishConfirmation()
 	if s.changed {
@@ -241,17 +242,17 @@
 	for _, h := range s.partitions {
 		h.updateOwnership(now)
 		h.tick(now)
-		h.group.pump(now)
+		h.group.Pump(now)
 	}
 	if now >= s.nextReconcile {
-		s.nextReconcile = now + reconcileInterval
+		s.nextReconcile = now + replica.ReconcileInterval
 		s.control.manage(now)
 		s.reconcilePartitions(now)
 	}
 }
 
-func (s *Server) groups() []*group {
-	out := []*group{s.control.group}
+func (s *Server) groups() []*replica.Group {
+	out := []*replica.Group{s.control.group}
 	for _, h := range s.partitions {
 		out = append(out, h.group)
 	}
@@ -273,6 +274,6 @@
 		return
 	}
 	for _, g := range s.groups() {
-		g.stop()
+		g.Stop()
 	}
 }
--- a/server/workercalls.go
+++ b/server/workercalls.go
@@ -14,6 +14,7 @@
 
 	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/oleanderchute/oleanderchute/partition"
+	"github.com/oleanderchute/oleanderchute/replica"
 )
 
 // Deadlines of calls to workers. A connection that went silent is found by them and
@@ -38,12 +39,12 @@
 // workerCalls makes the HTTP calls to workers and returns the answers as events. It is
 // safe for concurrent use.
 type workerCalls struct {
-	loop    *loop
+	loop    *replica.Loop
 	clients *lru.Cache[string, *http.Client] // by the worker's base URL
 	bytes   *byteCounter
 }
 
-func newWorkerCalls(l *loop) *workerCalls {
+func newWorkerCalls(l *replica.Loop) *workerCalls {
 	clients, err := lru.NewWithEvict(maxWorkerClients, func(_ string, c *http.Client) { c.CloseIdleConnections() })
 	if err != nil {
 		panic(err) // the size is a positive constant
@@ -116,9 +117,9 @@
 // answer hands an event to the partition unless its owner's epoch has changed since the
 // call was made: the new epoch's core knows nothing of that call.
 func (w *workerCalls) answer(h *hosted, epoch uint64, ev partition.Event) {
-	w.loop.post(func() {
+	w.loop.Post(func() {
 		if h.epoch == epoch {
-			h.step(w.loop.now(), ev)
+			h.step(w.loop.Now(), ev)
 		}
 	})
 }
