--- /dev/null
+++ b/cell/orders.go
@@ -0,0 +1,137 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/dispatch"
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+// carryOut carries out what the scheduler decided. Orders run on goroutines of their own
+// and bring their replies back to the loop.
+func (h *host) carryOut(actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Propose:
+			h.propose(nil, a.Ops...)
+		case dispatch.Hold:
+			h.sendHold(a)
+		case dispatch.Start:
+			h.sendStart(a)
+		case dispatch.Stop:
+			h.sendStop(a)
+		case dispatch.Advise:
+			h.sendAdvise(a)
+		case dispatch.StepDown:
+			h.group.Node.StepDown()
+		}
+	}
+}
+
+// reply runs fn on the loop if this replica still leads in the term of the order.
+func (h *host) reply(epoch uint64, fn func()) {
+	h.n.loop.Post(func() {
+		if h.epoch == epoch {
+			fn()
+		}
+	})
+}
+
+func (h *host) sendHold(o dispatch.Hold) {
+	epoch, sent := h.epoch, h.n.loop.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), o.Wait+holdGrace)
+		defer cancel()
+		reply, report := h.n.workers.Hold(ctx, o)
+		h.reply(epoch, func() { h.sched.Reported(o.Worker.Number, sent, reply, report) })
+	}()
+}
+
+func (h *host) sendStart(o dispatch.Start) {
+	epoch := h.epoch
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		reply, clock := h.n.workers.Start(ctx, o)
+		h.reply(epoch, func() { h.sched.Started(o.Task, o.Run, reply, clock) })
+	}()
+}
+
+func (h *host) sendStop(o dispatch.Stop) {
+	epoch := h.epoch
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		reply, clock := h.n.workers.Stop(ctx, o)
+		h.reply(epoch, func() { h.sched.Stopped(o.Task, o.Run, reply, clock) })
+	}()
+}
+
+// sendAdvise asks the advisor through another VM, or from here.
+func (h *host) sendAdvise(a dispatch.Advise) {
+	epoch := h.epoch
+	args := AdviseArgs{Step: a.Step, TimeoutMillis: a.Timeout.Milliseconds()}
+	numbers := map[string]uint32{}
+	for _, w := range a.Workers {
+		args.Workers = append(args.Workers, w.Name)
+		numbers[w.Name] = w.Number
+	}
+	go func() {
+		answer, err := h.n.adviseVia(a.Via, args)
+		if err != nil {
+			h.n.log.Info("advisor not reached", zap.String("via", a.Via), zap.Stringer("step", a.Step), zap.Error(err))
+		}
+		var granted []dispatch.Ticket
+		for _, g := range answer.Grants {
+			if number, ok := numbers[g.Worker]; ok {
+				granted = append(granted, dispatch.Ticket{Worker: number, Value: g.Ticket})
+			}
+		}
+		valid := time.Duration(answer.ValidMillis) * time.Millisecond
+		h.reply(epoch, func() { h.sched.Advised(a.Via, a.Step, a.Workers, granted, valid, err == nil) })
+	}()
+}
+
+// adviseVia asks through the VM at an address.
+func (n *Node) adviseVia(address string, args AdviseArgs) (AdviseReply, error) {
+	if address == n.settings.Address {
+		return n.advise(args)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(args.TimeoutMillis)*time.Millisecond+callTimeout/3)
+	defer cancel()
+	var reply AdviseReply
+	err := n.peers.callLong(ctx, address, "Advise", args, &reply)
+	return reply, err
+}
+
+// decisionLogger writes decisions as log lines.
+func decisionLogger(log *zap.Logger) func(dispatch.Decision) {
+	return func(d dispatch.Decision) {
+		fields := make([]zap.Field, 0, 8)
+		if d.Job != 0 {
+			fields = append(fields, zap.Stringer("job", d.Job))
+		}
+		if d.Task != (job.TaskRef{}) {
+			fields = append(fields, zap.Stringer("task", d.Task))
+		}
+		if d.Run != 0 {
+			fields = append(fields, zap.Uint32("run", d.Run))
+		}
+		if d.Worker != "" {
+			fields = append(fields, zap.String("worker", d.Worker))
+		}
+		if d.Reason != "" {
+			fields = append(fields, zap.String("reason", d.Reason))
+		}
+		if d.Age != 0 {
+			fields = append(fields, zap.Int64("age_ms", d.Age.Milliseconds()))
+		}
+		if d.Version != 0 {
+			fields = append(fields, zap.Int64("version", d.Version))
+		}
+		log.Info(d.What, fields...)
+	}
+}
--- /dev/null
+++ b/cell/peers.go
@@ -0,0 +1,107 @@
+package cell
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/replica"
+	"github.com/oleanderchute/oleanderchute/transport"
+)
+
+// serviceName is the net/rpc service between VMs.
+const serviceName = "Cell"
+
+// peers holds the connections to other VMs by address. It is safe for concurrent use.
+type peers struct {
+	n      *Node
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+}
+
+// link is what this VM keeps for one other VM.
+type link struct {
+	peer *transport.Peer
+	raft *transport.RaftSender // nil until a raft message is sent
+}
+
+func newPeers(n *Node) *peers { return &peers{n: n, links: map[string]*link{}} }
+
+// serve accepts calls from other VMs until ctx ends.
+func (p *peers) serve(ctx context.Context, listener net.Listener) error {
+	server := transport.NewServer(listener, transport.ServerOptions{})
+	for _, err := range []error{server.Register(serviceName, &service{p.n}), transport.RegisterRaft(server, p.n.deliver)} {
+		if err != nil {
+			return err
+		}
+	}
+	stop := context.AfterFunc(ctx, func() {
+		shutdown, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := server.Shutdown(shutdown); err != nil {
+			p.n.log.Info("calls between VMs were cut at shutdown", zap.Error(err))
+		}
+	})
+	defer stop()
+	return server.Serve()
+}
+
+// get returns the link to an address, or nil after close.
+func (p *peers) get(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[address]; l != nil || p.closed {
+		return l
+	}
+	l := &link{peer: transport.NewPeer(address, transport.PeerOptions{CallTimeout: callTimeout})}
+	p.links[address] = l
+	return l
+}
+
+// sendRaft queues a message; messages may be lost.
+func (p *peers) sendRaft(m raft.Message) {
+	l := p.get(replica.VMOf(m.To))
+	if l == nil {
+		return
+	}
+	if l.raft == nil { // only the loop sends raft messages
+		l.raft = transport.NewRaftSender(l.peer, 0)
+	}
+	l.raft.Send(m)
+}
+
+// call calls a method of another VM.
+func (p *peers) call(ctx context.Context, address, method string, args, reply any) error {
+	l := p.get(address)
+	if l == nil {
+		return transport.ErrNotSent
+	}
+	return l.peer.Call(ctx, serviceName+"."+method, args, reply)
+}
+
+// callLong is call for calls that may take seconds.
+func (p *peers) callLong(ctx context.Context, address, method string, args, reply any) error {
+	l := p.get(address)
+	if l == nil {
+		return transport.ErrNotSent
+	}
+	return l.peer.CallBulk(ctx, serviceName+"."+method, args, reply)
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	p.closed = true
+	links := p.links
+	p.links = map[string]*link{}
+	p.mu.Unlock()
+	for _, l := range links {
+		if l.raft != nil {
+			l.raft.Close()
+		}
+		l.peer.Close()
+	}
+}
--- /dev/null
+++ b/cell/serve.go
@@ -0,0 +1,175 @@
+package cell
+
+import (
+	"strings"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/job"
+	"github.com/oleanderchute/oleanderchute/replica"
+)
+
+// serve serves a call if this replica leads; done is called once, now or later, on the
+// loop.
+func (h *host) serve(now time.Duration, c Call, done func(Reply)) {
+	if !h.leads(now) {
+		done(Reply{Code: NotLeader, Leader: replica.VMOf(h.group.Node.Leader())})
+		return
+	}
+	switch c.Kind {
+	case SubmitJob, JobState, CancelJob, CountPending:
+		h.serveCaller(c, done)
+	case PutConfig:
+		h.putConfig(c.Config, done)
+	case GetConfig:
+		if h.state.Config().Version == 0 {
+			done(Reply{Code: NoConfig})
+			return
+		}
+		done(Reply{Code: OK, Document: h.state.Config().Document})
+	case Announce:
+		h.announce(c, done)
+	case SignOff:
+		h.sched.Gone(c.Worker)
+		done(Reply{Code: OK})
+	default:
+		done(Reply{Code: BadCall, Text: "unknown kind of call"})
+	}
+}
+
+// serveCaller serves a call about one queue.
+func (h *host) serveCaller(c Call, done func(Reply)) {
+	if h.state.Config().Version == 0 {
+		done(Reply{Code: NoConfig})
+		return
+	}
+	q := h.state.Queue(c.Host, c.Path)
+	if q == nil {
+		done(Reply{Code: NoQueue})
+		return
+	}
+	if c.Kind == CountPending || c.Kind == JobState && c.Path == q.Prefix {
+		done(Reply{Code: OK, Pending: h.state.PendingJobs(q.Name)})
+		return
+	}
+	id, err := job.ParseID(strings.TrimPrefix(c.Path, q.Prefix))
+	if err != nil {
+		done(Reply{Code: BadCall, Text: err.Error()})
+		return
+	}
+	switch c.Kind {
+	case SubmitJob:
+		h.submit(id, q, c.Spec, done)
+	case CancelJob:
+		h.cancel(id, q, done)
+	default:
+		h.jobState(id, q, done)
+	}
+}
+
+// committedReply answers with code once the operation is committed.
+func committedReply(done func(Reply), r Reply) func(bool) {
+	return func(committed bool) {
+		if !committed {
+			r = Reply{Code: Interrupted}
+		}
+		done(r)
+	}
+}
+
+func (h *host) submit(id job.ID, q *job.Queue, spec *job.Spec, done func(Reply)) {
+	if j := h.state.Job(id); j != nil {
+		if j.Queue.Name != q.Name {
+			done(Reply{Code: Conflict, Text: "this id is in use on another route"})
+			return
+		}
+		done(Reply{Code: OK})
+		return
+	}
+	if spec == nil {
+		done(Reply{Code: BadCall, Text: "the job is missing"})
+		return
+	}
+	if err := spec.Check(); err != nil {
+		done(Reply{Code: BadCall, Text: err.Error()})
+		return
+	}
+	answer := committedReply(done, Reply{Code: OK})
+	if waiters, under := h.submitting[id]; under {
+		h.submitting[id] = append(waiters, answer)
+		return
+	}
+	h.submitting[id] = []func(bool){answer}
+	h.propose(func(committed bool) {
+		waiters := h.submitting[id]
+		delete(h.submitting, id)
+		for _, w := range waiters {
+			w(committed)
+		}
+	}, job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *spec, AcceptedMillis: time.Now().UnixMilli()}})
+}
+
+func (h *host) cancel(id job.ID, q *job.Queue, done func(Reply)) {
+	j := h.state.Job(id)
+	switch {
+	case j == nil || j.Queue.Name != q.Name:
+		done(Reply{Code: NoJob})
+	case j.Outcome != job.Open:
+		done(Reply{Code: OK})
+	default:
+		h.propose(committedReply(done, Reply{Code: OK}), job.Op{Cancel: &job.Cancel{ID: id, AtMillis: time.Now().UnixMilli()}})
+	}
+}
+
+func (h *host) jobState(id job.ID, q *job.Queue, done func(Reply)) {
+	j := h.state.Job(id)
+	if j == nil || j.Queue.Name != q.Name {
+		done(Reply{Code: NoJob})
+		return
+	}
+	done(Reply{Code: OK, Status: statusOf(j)})
+}
+
+func statusOf(j *job.Job) JobStatus {
+	switch {
+	case j.Outcome == job.AllDone:
+		return DoneJob
+	case j.Outcome == job.Failed:
+		return FailedJob
+	case j.Outcome == job.Canceled:
+		return CanceledJob
+	case j.Started:
+		return Running
+	}
+	return Queued
+}
+
+// putConfig puts a valid configuration into force. A version that is not higher than the
+// one held changes nothing and is acknowledged all the same.
+func (h *host) putConfig(c *job.Config, done func(Reply)) {
+	if c == nil {
+		done(Reply{Code: BadCall, Text: "the configuration is missing"})
+		return
+	}
+	if err := c.Check(); err != nil {
+		done(Reply{Code: BadCall, Text: err.Error()})
+		return
+	}
+	if c.Version <= h.state.Config().Version {
+		done(Reply{Code: OK})
+		return
+	}
+	h.propose(committedReply(done, Reply{Code: OK}), job.Op{Config: c})
+}
+
+func (h *host) announce(c Call, done func(Reply)) {
+	reply := Reply{Code: OK, Public: h.n.settings.Public}
+	if c.Announcement == nil {
+		done(Reply{Code: BadCall, Text: "the announcement is missing"})
+		return
+	}
+	if h.sched.Announced(*c.Announcement) {
+		h.propose(committedReply(done, reply))
+		return
+	}
+	done(reply)
+}
--- /dev/null
+++ b/dispatch/advice.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+const (
+	// askAtMost is the number of workers named in one call.
+	askAtMost = 30
+	// ticketMargin is the part of a ticket's life kept for the way of an order to a worker.
+	ticketMargin = 150 * time.Millisecond
+	// longAsk is the length from which a call counts as long; longAsksKeepFree members are
+	// kept free of such calls, so that short ones do not wait behind them.
+	longAsk          = 200 * time.Millisecond
+	longAsksKeepFree = 3
+	// askGrace is added to the expected length of a call.
+	askGrace = 400 * time.Millisecond
+	// askPause keeps a step or a member from asking again after a call that failed.
+	askPause = 300 * time.Millisecond
+)
+
+// ticket is what the advisor granted for one worker life.
+type ticket struct {
+	value string
+	until time.Duration
+}
+
+// advice is what is known of where a step may run. What the advisor grants does not
+// change; only tickets expire.
+type advice struct {
+	tickets map[uint32]ticket
+	denied  map[uint32]bool
+	asking  bool
+	retryAt time.Duration
+}
+
+// advisor is a member through which the advisor can be asked, one call at a time.
+type advisor struct {
+	busy    bool
+	retryAt time.Duration
+}
+
+// ask is a call that waits for a free member.
+type ask struct {
+	ref      job.StepRef
+	workers  []job.Worker
+	length   time.Duration
+	priority int
+	due      int64
+}
+
+// SetAdvisors names the members through which the advisor can be asked.
+func (s *Scheduler) SetAdvisors(members []string) {
+	next := map[string]*advisor{}
+	for _, m := range members {
+		if next[m] = s.advisors[m]; next[m] == nil {
+			next[m] = &advisor{}
+		}
+	}
+	s.advisors = next
+}
+
+// ticketFor returns a valid ticket of a step for a worker.
+func (a *advice) ticketFor(number uint32, now time.Duration) (string, bool) {
+	t, ok := a.tickets[number]
+	return t.value, ok && now < t.until
+}
+
+func (s *Scheduler) adviceFor(ref job.StepRef) *advice {
+	a := s.advice[ref]
+	if a == nil {
+		a = &advice{tickets: map[uint32]ticket{}, denied: map[uint32]bool{}}
+		s.advice[ref] = a
+	}
+	return a
+}
+
+func (s *Scheduler) dropAdvice(id job.ID) {
+	for ref := range s.advice {
+		if ref.Job == id {
+			delete(s.advice, ref)
+		}
+	}
+	s.asks = slices.DeleteFunc(s.asks, func(q *ask) bool { return q.ref.Job == id })
+}
+
+func (s *Scheduler) dropTicket(c *claim) {
+	if a := s.advice[c.key.task.StepRef]; a != nil {
+		delete(a.tickets, c.worker.life.Number)
+	}
+}
+
+// requestAdvice queues a call about the workers that may be of use and have no valid
+// ticket: granted ones whose ticket expired first, then unknown ones, each by free room.
+func (s *Scheduler) requestAdvice(r *readyStep, candidates []*worker) {
+	a := s.adviceFor(r.ref)
+	if a.asking || s.now < a.retryAt {
+		return
+	}
+	list := slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool {
+		_, valid := a.ticketFor(w.life.Number, s.now)
+		return valid || a.denied[w.life.Number]
+	})
+	if len(list) == 0 {
+		return
+	}
+	known := func(w *worker) int {
+		if _, granted := a.tickets[w.life.Number]; granted {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(x, y *worker) int {
+		return cmp.Or(known(x)-known(y), cmp.Compare(y.free().MilliCPU, x.free().MilliCPU))
+	})
+	list = list[:min(len(list), askAtMost)]
+	terms := r.job.Queue.Advisor
+	q := &ask{ref: r.ref, priority: r.job.Queue.Priority, due: r.due,
+		length: millis(terms.DecisionMillis + terms.PerWorkerMillis*float64(len(list)))}
+	for _, w := range list {
+		q.workers = append(q.workers, *w.life)
+	}
+	a.asking = true
+	s.asks = append(s.asks, q)
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// sendAsks hands calls to free members, the most urgent first.
+func (s *Scheduler) sendAsks() {
+	if len(s.asks) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.asks, func(x, y *ask) int {
+		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.due, y.due))
+	})
+	free := s.freeAdvisors()
+	waiting := s.asks[:0]
+	for _, q := range s.asks {
+		if len(free) == 0 || q.length > longAsk && len(free) <= min(longAsksKeepFree, len(s.advisors)/2) {
+			waiting = append(waiting, q)
+			continue
+		}
+		s.advisors[free[0]].busy = true
+		s.actions = append(s.actions, Advise{Via: free[0], Step: q.ref, Workers: q.workers, Timeout: q.length + askGrace})
+		free = free[1:]
+	}
+	s.asks = waiting
+}
+
+func (s *Scheduler) freeAdvisors() []string {
+	var free []string
+	for name, a := range s.advisors {
+		if !a.busy && s.now >= a.retryAt {
+			free = append(free, name)
+		}
+	}
+	slices.Sort(free)
+	return free
+}
+
+// Advised takes the answer to a call about workers. ok is false if there was none; valid
+// is how long the tickets hold from when the call was sent back.
+func (s *Scheduler) Advised(via string, ref job.StepRef, workers []job.Worker, granted []Ticket, valid time.Duration, ok bool) {
+	if m := s.advisors[via]; m != nil {
+		m.busy = false
+		if !ok {
+			m.retryAt = s.now + askPause
+		}
+	}
+	a := s.advice[ref]
+	if a == nil || !s.leading {
+		return
+	}
+	a.asking = false
+	s.dirty = true
+	s.record(Decision{What: "advice", Job: ref.Job, Task: job.TaskRef{StepRef: ref}, Worker: via, Reason: adviceReason(len(granted), len(workers), ok)})
+	if !ok {
+		a.retryAt = s.now + askPause
+		return
+	}
+	for _, w := range workers {
+		a.denied[w.Number] = true
+	}
+	for _, t := range granted {
+		delete(a.denied, t.Worker)
+		a.tickets[t.Worker] = ticket{t.Value, s.now + valid - ticketMargin}
+	}
+}
--- /dev/null
+++ b/dispatch/scheduler.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+const (
+	// taskLease is the lease that orders ask for: long enough to outlast an election
+	// (about 2 s) and a missed renewal, short enough that a lost worker's tasks are placed
+	// again soon.
+	taskLease = 5 * time.Second
+	// clockDrift covers worker clocks that are 2% slow, and the leader's own.
+	clockDrift = 0.025
+	// decideEvery bounds how often all waiting work is looked at.
+	decideEvery = 5 * time.Millisecond
+	// forgetEvery is how often ended jobs are looked at for removal.
+	forgetEvery = 5 * time.Second
+)
+
+// Scheduler holds the leader's soft state. One goroutine owns it.
+type Scheduler struct {
+	settings Settings
+	state    *job.State
+	record   func(Decision)
+
+	leading bool
+	term    uint64
+	now     time.Duration
+	wall    int64 // Unix milliseconds that belong to now
+	actions []Action
+	ops     []job.Op // for the next Propose
+
+	workers  map[uint32]*worker
+	byName   map[string]uint32 // newest announced life
+	claims   map[claimKey]*claim
+	proposed map[job.TaskRef]bool // claims that are not committed
+	advice   map[job.StepRef]*advice
+	avoid    map[job.TaskRef]uint32 // the worker on which a task failed last
+	advisors map[string]*advisor
+	asks     []*ask
+
+	dirty      bool
+	nextDecide time.Duration
+	nextForget time.Duration
+}
+
+// New returns a scheduler for a state that the caller applies operations to. record gets
+// a line for each decision.
+func New(settings Settings, state *job.State, record func(Decision)) *Scheduler {
+	s := &Scheduler{settings: settings, record: record}
+	s.Reset(state)
+	return s
+}
+
+// Reset drops the soft state; the node does not lead any more, or has taken a snapshot.
+func (s *Scheduler) Reset(state *job.State) {
+	s.state, s.leading = state, false
+	s.workers, s.byName = map[uint32]*worker{}, map[string]uint32{}
+	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
+	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
+	s.asks, s.actions, s.ops = nil, nil, nil
+	for _, a := range s.advisors {
+		a.busy = false
+	}
+}
+
+// lease is what orders ask for.
+func (s *Scheduler) lease() time.Duration {
+	if s.settings.MaxLease > 0 {
+		return min(taskLease, s.settings.MaxLease)
+	}
+	return taskLease
+}
+
+// leaseBound is how long after the receipt of a clock value every lease that was counted
+// from it has ended.
+func (s *Scheduler) leaseBound() time.Duration {
+	return time.Duration(float64(s.lease()) * (1 + clockDrift))
+}
+
+// Lead builds the soft state of a new leader. wall is the time of day that belongs to now.
+func (s *Scheduler) Lead(now time.Duration, wall int64, term uint64) {
+	s.Reset(s.state)
+	s.leading, s.term, s.now, s.wall = true, term, now, wall
+	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.leaseBound()) })
+	s.state.Jobs(func(j *job.Job) { s.adoptClaims(j) })
+	s.dirty = true
+}
+
+// adoptClaims reserves room for the claims of earlier leaders. Whether they run is known
+// when their worker has answered.
+func (s *Scheduler) adoptClaims(j *job.Job) {
+	for k, o := range j.Occurrences {
+		for i := range o.Steps {
+			for n, t := range o.Steps[i].Tasks {
+				if t.Phase != job.Claimed {
+					continue
+				}
+				ref := job.TaskRef{StepRef: job.StepRef{Job: j.ID, Occurrence: k, Step: uint16(i)}, Index: uint16(n)}
+				s.adopt(ref, t.Run, t.Worker, &j.Spec.Steps[i])
+				if t.CopyWorker != 0 {
+					s.adopt(ref, t.Copy, t.CopyWorker, &j.Spec.Steps[i])
+				}
+			}
+		}
+	}
+}
+
+func (s *Scheduler) adopt(ref job.TaskRef, run, number uint32, step *job.Step) {
+	w := s.workers[number]
+	if w == nil {
+		// The life is over, so everything on it has ended.
+		s.proposeEnd(ref, run, job.EndLost, "")
+		return
+	}
+	s.addClaim(ref, run, w, step, claimAdopted)
+}
+
+// Leading reports whether Lead was called and Reset was not called since.
+func (s *Scheduler) Leading() bool { return s.leading }
+
+// Actions returns what has gathered since the last call, operations first.
+func (s *Scheduler) Actions() []Action {
+	if len(s.ops) > 0 {
+		s.actions = append([]Action{Propose{s.ops}}, s.actions...)
+		s.ops = nil
+	}
+	out := s.actions
+	s.actions = nil
+	return out
+}
+
+func (s *Scheduler) propose(op job.Op) { s.ops = append(s.ops, op) }
+
+func (s *Scheduler) proposeEnd(ref job.TaskRef, run uint32, kind job.EndKind, saved string) {
+	s.propose(job.Op{End: &job.End{Task: ref, Run: run, Kind: kind, Saved: saved, AtMillis: s.wall}})
+}
+
+// Tick tells the time. The embedder calls it every few milliseconds and after events.
+func (s *Scheduler) Tick(now time.Duration, wall int64) {
+	s.now, s.wall = max(s.now, now), wall
+	if !s.leading {
+		return
+	}
+	s.tickWorkers()
+	s.tickClaims()
+	if now >= s.nextForget {
+		s.nextForget = now + forgetEvery
+		s.forgetEnded()
+	}
+	if s.dirty && now >= s.nextDecide {
+		s.dirty, s.nextDecide = false, now+decideEvery
+		s.decide()
+	}
+	s.sendAsks()
+}
+
+// forgetEnded removes jobs whose state need not be known any more.
+func (s *Scheduler) forgetEnded() {
+	var ids []job.ID
+	keep := s.settings.KeepEnded.Milliseconds() * 3 / 2 // a margin for clocks that differ
+	s.state.Jobs(func(j *job.Job) {
+		if j.Outcome != job.Open && s.wall-j.EndedMillis > keep {
+			ids = append(ids, j.ID)
+		}
+	})
+	if len(ids) > 0 {
+		s.propose(job.Op{Forget: ids})
+	}
+}
+
+// Applied tells that an operation was applied to the state.
+func (s *Scheduler) Applied(now time.Duration, op job.Op) {
+	if !s.leading {
+		return
+	}
+	s.now = max(s.now, now)
+	s.dirty = true
+	switch {
+	case op.Claim != nil:
+		s.claimApplied(op.Claim)
+	case op.End != nil:
+		s.endApplied(op.End)
+	case op.Cancel != nil:
+		s.stopJob(op.Cancel.ID, "job cancelled")
+	case op.Worker != nil:
+		s.workerApplied(op.Worker)
+	case op.Noted != nil:
+		s.endsNoted(op.Noted)
+	case op.Vanished != 0:
+		s.removeWorker(op.Vanished)
+	}
+}
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,337 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+const (
+	// holdWait is how long the answer to Hold may wait for an end. Two renewals fit into a
+	// lease, with time for an election.
+	holdWait = time.Second
+	// holdRetry is the pause after a Hold without an answer.
+	holdRetry = 200 * time.Millisecond
+	// holdRetryMax is the longest such pause.
+	holdRetryMax = time.Second
+	// freshFor is how old the newest answer of a worker may be for new work to go there.
+	freshFor = 2500 * time.Millisecond
+	// vanishAfter is how long a worker without claims may be silent before its life counts
+	// as over. Workers announce themselves every few seconds at most.
+	vanishAfter = 15 * time.Second
+)
+
+// worker is what the leader knows of one life of a worker.
+type worker struct {
+	life *job.Worker
+	// token is the newest clock value of the worker, tokenAt when it was received.
+	token   int64
+	tokenAt time.Duration
+	// leaseEnd is when every lease given so far has ended for certain.
+	leaseEnd time.Duration
+	used     job.Resources
+	fillCPU  int64 // processors that filling tasks ask for, in thousandths
+	claims   map[claimKey]*claim
+
+	holding  bool // a Hold is under way
+	nextHold time.Duration
+	failures int           // Holds without an answer in a row
+	okAt     time.Duration // newest answer in this term, 0 if none
+	heardAt  time.Duration // newest answer or announcement
+	sequence uint64        // of the newest announcement
+	reported bool          // has listed its tasks in this term
+	acked    uint64
+	// uncommitted is the number of the newest listed end that is not committed yet, 0 if
+	// there is none.
+	uncommitted uint64
+	leaving     bool
+	over        bool // the end of this life is proposed; nothing more is sent to it
+	health      health
+}
+
+func (s *Scheduler) addWorker(life *job.Worker, leaseEnd time.Duration) *worker {
+	w := &worker{life: life, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, heardAt: s.now, leaving: life.Leaving}
+	s.workers[life.Number] = w
+	s.byName[life.Name] = life.Number
+	return w
+}
+
+// free is the capacity that is not reserved.
+func (w *worker) free() job.Resources { return w.life.Capacity.Minus(w.used) }
+
+// usable reports whether new work may go to the worker.
+func (s *Scheduler) usable(w *worker) bool {
+	return !w.leaving && !w.over && w.reported && w.failures == 0 && s.now-w.okAt < freshFor && w.health.usable(s.now, len(w.claims))
+}
+
+// Announcement is what a worker says about itself.
+type Announcement struct {
+	Worker      job.Worker
+	ClockMillis int64
+	Sequence    uint64 // rises with each announcement of a life
+}
+
+// Announced takes an announcement. It reports whether an operation was proposed that has
+// to be committed before the announcement is acknowledged.
+func (s *Scheduler) Announced(a Announcement) bool {
+	if !s.leading {
+		return false
+	}
+	w := s.workers[s.byName[a.Worker.Name]]
+	if w == nil || !w.life.SameLife(&a.Worker) {
+		if w != nil && w.life.BornMillis > a.Worker.BornMillis {
+			return false // late, of an earlier life
+		}
+		life := a.Worker
+		s.propose(job.Op{Worker: &life})
+		return true
+	}
+	w.heardAt = s.now
+	if a.Sequence < w.sequence {
+		return false
+	}
+	w.sequence = a.Sequence
+	changed := a.Worker.Leaving && !w.life.Leaving
+	if a.Worker.Leaving {
+		w.leaving = true
+	}
+	if changed {
+		life := a.Worker
+		s.propose(job.Op{Worker: &life})
+	}
+	return changed
+}
+
+// Gone takes a worker's word that it ends.
+func (s *Scheduler) Gone(name string) {
+	if w := s.workers[s.byName[name]]; w != nil {
+		s.lifeOver(w, "worker signed off")
+	}
+}
+
+// lifeOver proposes that a life is over and that its tasks are lost.
+func (s *Scheduler) lifeOver(w *worker, reason string) {
+	if w.over {
+		return
+	}
+	s.record(Decision{What: "worker life over", Worker: w.life.Name, Reason: reason, Age: s.now - w.okAt})
+	s.loseClaims(w)
+	s.propose(job.Op{Vanished: w.life.Number})
+	w.over = true
+}
+
+// loseClaims proposes the end of everything on a worker.
+func (s *Scheduler) loseClaims(w *worker) {
+	for key, c := range w.claims {
+		if c.phase != claimProposed {
+			s.proposeEnd(key.task, key.run, job.EndLost, c.saved)
+			s.removeClaim(c)
+		}
+	}
+}
+
+// workerApplied follows the registry of lives.
+func (s *Scheduler) workerApplied(op *job.Worker) {
+	s.state.Workers(func(life *job.Worker) {
+		if !life.SameLife(op) {
+			return
+		}
+		if w := s.workers[life.Number]; w != nil {
+			w.life, w.leaving = life, w.leaving || life.Leaving
+			return
+		}
+		s.addWorker(life, s.now)
+		s.record(Decision{What: "worker registered", Worker: life.Name})
+	})
+	for number := range s.workers {
+		if s.state.Worker(number) == nil {
+			s.removeWorker(number)
+		}
+	}
+}
+
+// removeWorker drops a life that is over. Claims that were made meanwhile are lost.
+func (s *Scheduler) removeWorker(number uint32) {
+	w := s.workers[number]
+	if w == nil {
+		return
+	}
+	s.loseClaims(w)
+	delete(s.workers, number)
+	if s.byName[w.life.Name] == number {
+		delete(s.byName, w.life.Name)
+	}
+}
+
+// tickWorkers sends the Holds that are due and gives up what has certainly ended.
+func (s *Scheduler) tickWorkers() {
+	for _, w := range s.workers {
+		if w.over {
+			continue
+		}
+		if w.failures > 0 && s.now >= w.leaseEnd && len(w.claims) > 0 {
+			s.record(Decision{What: "worker lost", Worker: w.life.Name, Reason: "no answer until the lease ended", Age: s.now - w.okAt})
+			s.loseClaims(w)
+			s.dirty = true
+		}
+		if len(w.claims) == 0 && s.now-w.heardAt > vanishAfter {
+			s.lifeOver(w, "silent")
+			continue
+		}
+		if !w.holding && w.uncommitted == 0 && s.now >= w.nextHold {
+			s.hold(w)
+		}
+	}
+}
+
+func (s *Scheduler) hold(w *worker) {
+	w.holding = true
+	wait := holdWait
+	if !w.reported || w.failures > 0 {
+		wait = 0
+	}
+	s.actions = append(s.actions, Hold{Order: s.order(w), Acked: w.acked, Wait: wait})
+}
+
+// order fills in what all orders carry and notes how long the lease may last.
+func (s *Scheduler) order(w *worker) Order {
+	o := Order{Worker: *w.life, Fence: s.term}
+	if w.token > 0 {
+		o.UntilMillis = w.token + s.lease().Milliseconds()
+		w.leaseEnd = max(w.leaseEnd, w.tokenAt+s.leaseBound())
+	}
+	return o
+}
+
+// noteClock takes a clock value from an answer.
+func (s *Scheduler) noteClock(w *worker, clock int64) {
+	if clock > w.token {
+		w.token, w.tokenAt = clock, s.now
+	}
+}
+
+// Reported takes the answer to a Hold that was sent at the time sent.
+func (s *Scheduler) Reported(number uint32, sent time.Duration, reply Reply, r Report) {
+	w := s.workers[number]
+	if w == nil || !s.leading {
+		return
+	}
+	w.holding = false
+	switch reply {
+	case Accepted:
+	case RefusedOld:
+		s.deposed(w)
+		return
+	case OtherLife:
+		s.lifeOver(w, "another life has its address")
+		return
+	default:
+		s.holdFailed(w, reply)
+		return
+	}
+	if r.BornMillis != 0 && r.BornMillis != w.life.BornMillis {
+		s.lifeOver(w, "started again under its name")
+		return
+	}
+	if w.failures > 0 {
+		s.record(Decision{What: "worker regained", Worker: w.life.Name, Age: s.now - w.okAt})
+	}
+	w.failures, w.okAt, w.heardAt, w.nextHold = 0, s.now, s.now, s.now
+	s.noteClock(w, r.ClockMillis)
+	s.takeLists(w, sent, r)
+	w.reported = true
+	s.dirty = true
+}
+
+func (s *Scheduler) deposed(w *worker) {
+	s.record(Decision{What: "leadership given up", Worker: w.life.Name, Reason: "worker has seen a newer leader"})
+	s.actions = append(s.actions, StepDown{})
+}
+
+func (s *Scheduler) holdFailed(w *worker, reply Reply) {
+	w.failures++
+	w.nextHold = s.now + min(holdRetry<<min(w.failures-1, 4), holdRetryMax)
+	if w.failures == 1 {
+		s.record(Decision{What: "worker silent", Worker: w.life.Name, Reason: reply.String(), Age: s.now - w.okAt})
+	}
+}
+
+// takeLists compares what a worker lists with the claims on it.
+func (s *Scheduler) takeLists(w *worker, sent time.Duration, r Report) {
+	listed := make(map[claimKey]bool, len(r.Running)+len(r.Ended))
+	for _, run := range r.Running {
+		key := claimKey{run.Task, run.Run}
+		listed[key] = true
+		s.takeRunning(w, key, run)
+	}
+	for _, e := range r.Ended {
+		listed[claimKey{e.Task, e.Run}] = true
+		s.takeEnded(w, e)
+	}
+	if w.uncommitted > 0 {
+		s.propose(job.Op{Noted: &job.Noted{Worker: w.life.Number, Number: w.uncommitted}})
+	}
+	for key, c := range w.claims {
+		if !listed[key] && c.knownBefore(sent) {
+			s.record(Decision{What: "run not listed", Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.life.Name, Reason: c.phase.String()})
+			s.proposeEnd(key.task, key.run, job.EndNotStarted, c.saved)
+			s.removeClaim(c)
+		}
+	}
+}
+
+func (s *Scheduler) takeRunning(w *worker, key claimKey, run Running) {
+	c := s.claims[key]
+	if c == nil || c.worker != w {
+		c = s.addStray(w, key)
+	}
+	if c.phase == claimSent || c.phase == claimAdopted {
+		c.phase, c.confirmedAt = claimRunning, s.now
+	}
+	if run.Saved != "" {
+		c.saved = run.Saved
+	}
+	c.noteProgress(s.now, run)
+}
+
+func (s *Scheduler) takeEnded(w *worker, e Ended) {
+	if e.Number <= w.acked {
+		return
+	}
+	w.uncommitted = max(w.uncommitted, e.Number)
+	key := claimKey{e.Task, e.Run}
+	c := s.claims[key]
+	saved := e.Saved
+	if c != nil && c.worker == w {
+		if saved == "" {
+			saved = c.saved
+		}
+		s.noteHealth(w, c, e.Kind)
+		s.removeClaim(c)
+	}
+	s.record(Decision{What: "run ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.life.Name, Reason: e.Kind.String()})
+	s.proposeEnd(e.Task, e.Run, e.Kind, saved)
+}
+
+// endsNoted tells that all ends of a life up to a number are committed.
+func (s *Scheduler) endsNoted(n *job.Noted) {
+	w := s.workers[n.Worker]
+	if w == nil {
+		return
+	}
+	w.acked = max(w.acked, n.Number)
+	if w.uncommitted <= w.acked {
+		w.uncommitted = 0
+	}
+}
+
+// sortedWorkers returns the workers by number, so that decisions are repeatable.
+func (s *Scheduler) sortedWorkers() []*worker {
+	out := make([]*worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return int(a.life.Number) - int(b.life.Number) })
+	return out
+}
--- /dev/null
+++ b/internal/asynclog/asynclog.go
@@ -0,0 +1,95 @@
+// Package asynclog writes log lines without blocking those who log. Lines wait in a bounded
+// queue and are dropped, and counted, when it is full or when more come than the limit
+// allows.
+package asynclog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueLines bounds the lines that wait for the writer.
+	queueLines = 8192
+	// bytesPerSecond bounds the volume; bursts may use what the last second left.
+	bytesPerSecond = 512 << 10
+	flushEvery     = 100 * time.Millisecond
+)
+
+// Writer implements zapcore.WriteSyncer. Close ends its goroutine.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	stop    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// New starts a writer on out.
+func New(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, queueLines), stop: make(chan struct{})}
+	w.wg.Go(w.run)
+	return w
+}
+
+// Write queues a line; it never blocks and never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing: lines are written within flushEvery.
+func (w *Writer) Sync() error { return nil }
+
+// Close writes what waits and ends the goroutine.
+func (w *Writer) Close() {
+	close(w.stop)
+	w.wg.Wait()
+}
+
+func (w *Writer) run() {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	budget := bytesPerSecond
+	for {
+		stopping := false
+		select {
+		case <-ticker.C:
+			budget = min(budget+int(bytesPerSecond*flushEvery/time.Second), bytesPerSecond)
+		case <-w.stop:
+			stopping = true
+		}
+		budget = w.flush(budget)
+		if stopping {
+			return
+		}
+	}
+}
+
+// flush writes the lines that wait, within the budget of bytes, and returns what is left.
+func (w *Writer) flush(budget int) int {
+	var batch []byte
+	for range len(w.lines) {
+		line := <-w.lines
+		if len(line) > budget {
+			w.dropped.Add(1)
+			continue
+		}
+		budget -= len(line)
+		batch = append(batch, line...)
+	}
+	if n := w.dropped.Swap(0); n > 0 {
+		batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
+	if len(batch) > 0 {
+		_, _ = w.out.Write(batch) // there is nowhere to report a log that cannot be written
+	}
+	return budget
+}
--- /dev/null
+++ b/job/snapshot.go
@@ -0,0 +1,47 @@
+package job
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/internal/codec"
+)
+
+// image is the encoded form of a State.
+type image struct {
+	Config  Config             `cbor:"1,keyasint"`
+	Jobs    map[ID]*Job        `cbor:"2,keyasint"`
+	Workers map[uint32]*Worker `cbor:"3,keyasint"`
+	Members map[string]Member  `cbor:"4,keyasint"`
+	Last    uint32             `cbor:"5,keyasint"`
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() []byte {
+	data, err := codec.Encode.Marshal(image{s.config, s.jobs, s.workers, s.members, s.last})
+	if err != nil {
+		panic("job: a state of plain values cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var i image
+	if err := codec.Decode.Unmarshal(data, &i); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	fresh := NewState()
+	fresh.config, fresh.last = i.Config, i.Last
+	fresh.queues = newQueueIndex(fresh.config.Queues)
+	if i.Jobs != nil {
+		fresh.jobs = i.Jobs
+	}
+	if i.Workers != nil {
+		fresh.workers = i.Workers
+	}
+	if i.Members != nil {
+		fresh.members = i.Members
+	}
+	*s = *fresh
+	return nil
+}
--- /dev/null
+++ b/job/state.go
@@ -0,0 +1,289 @@
+package job
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/internal/codec"
+)
+
+// State is what every replica of a cell holds. It is not safe for concurrent use.
+type State struct {
+	config  Config
+	queues  queueIndex
+	jobs    map[ID]*Job
+	workers map[uint32]*Worker
+	members map[string]Member // by address
+	last    uint32            // number of the newest worker life
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{jobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}, queues: queueIndex{}}
+}
+
+// Config returns the configuration in force; version 0 before the first.
+func (s *State) Config() *Config { return &s.config }
+
+// Queue returns the queue of a host and path, or nil.
+func (s *State) Queue(host, path string) *Queue { return s.queues.find(host, path) }
+
+// Job returns a job, or nil.
+func (s *State) Job(id ID) *Job { return s.jobs[id] }
+
+// Jobs calls fn for each job, in no order.
+func (s *State) Jobs(fn func(*Job)) {
+	for _, j := range s.jobs {
+		fn(j)
+	}
+}
+
+// Worker returns a worker life that is not over, or nil.
+func (s *State) Worker(number uint32) *Worker { return s.workers[number] }
+
+// Workers calls fn for each worker life, in no order.
+func (s *State) Workers(fn func(*Worker)) {
+	for _, w := range s.workers {
+		fn(w)
+	}
+}
+
+// Members calls fn for each member, in no order.
+func (s *State) Members(fn func(Member)) {
+	for _, m := range s.members {
+		fn(m)
+	}
+}
+
+// Member returns the member at an address.
+func (s *State) Member(address string) (Member, bool) {
+	m, ok := s.members[address]
+	return m, ok
+}
+
+// Pool returns a pool of the configuration in force, or nil.
+func (s *State) Pool(name string) *Pool {
+	for i := range s.config.Pools {
+		if s.config.Pools[i].Name == name {
+			return &s.config.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Encode returns a batch for the log.
+func Encode(ops []Op) ([]byte, error) { return codec.Encode.Marshal(ops) }
+
+// Decode reads a batch of the log.
+func Decode(data []byte) ([]Op, error) {
+	var ops []Op
+	err := codec.Decode.Unmarshal(data, &ops)
+	return ops, errors.Wrap(err, "decode operations")
+}
+
+// Apply applies one operation. Operations that no longer fit the state, such as the end of
+// a run that was replaced, change nothing.
+func (s *State) Apply(op Op) {
+	switch {
+	case op.Submit != nil:
+		s.submit(op.Submit)
+	case op.Cancel != nil:
+		s.cancel(op.Cancel)
+	case op.Claim != nil:
+		s.claim(op.Claim)
+	case op.End != nil:
+		s.end(op.End)
+	case op.Worker != nil:
+		s.setWorker(*op.Worker)
+	case op.Vanished != 0:
+		delete(s.workers, op.Vanished)
+	case op.Config != nil:
+		s.setConfig(*op.Config)
+	case op.Member != nil:
+		s.members[op.Member.Address] = *op.Member
+	case op.Forget != nil:
+		for _, id := range op.Forget {
+			delete(s.jobs, id)
+		}
+	}
+}
+
+func (s *State) setConfig(c Config) {
+	if c.Version > s.config.Version {
+		s.config = c
+		s.queues = newQueueIndex(s.config.Queues)
+	}
+}
+
+// setWorker takes a new life of a worker, which ends earlier lives of its name and at its
+// address, or the new particulars of a known life.
+func (s *State) setWorker(w Worker) {
+	for n, old := range s.workers {
+		switch {
+		case old.SameLife(&w):
+			w.Number = n
+			w.Leaving = w.Leaving || old.Leaving
+			s.workers[n] = &w
+			return
+		case old.Name == w.Name || old.Address == w.Address:
+			if old.BornMillis > w.BornMillis {
+				return // a late announcement of an earlier life
+			}
+		}
+	}
+	for n, old := range s.workers {
+		if old.Name == w.Name || old.Address == w.Address {
+			delete(s.workers, n)
+		}
+	}
+	s.last++
+	w.Number = s.last
+	s.workers[w.Number] = &w
+}
+
+func (s *State) submit(o *Submit) {
+	if s.jobs[o.ID] != nil {
+		return
+	}
+	for i := range s.config.Queues {
+		if q := s.config.Queues[i]; q.Name == o.Queue {
+			s.jobs[o.ID] = &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis}
+			return
+		}
+	}
+}
+
+func (s *State) cancel(o *Cancel) {
+	if j := s.jobs[o.ID]; j != nil && j.Outcome == Open {
+		j.close(Canceled, o.AtMillis)
+	}
+}
+
+// close ends a job. Its payload is dropped, since no task of it starts again; the tasks
+// stay until their workers have listed their ends.
+func (j *Job) close(o Outcome, atMillis int64) {
+	j.Outcome, j.EndedMillis = o, atMillis
+	j.Spec.Payload = ""
+}
+
+func (s *State) claim(o *Claim) {
+	j := s.jobs[o.Task.Job]
+	if j == nil || j.Outcome != Open || int(o.Task.Occurrence) >= j.Spec.Occurrences() || j.Finished[o.Task.Occurrence] {
+		return
+	}
+	j.Occurrence(o.Task.Occurrence)
+	_, _, t := j.Task(o.Task)
+	if t == nil || o.Run <= max(t.Run, t.Copy) {
+		return
+	}
+	switch {
+	case t.Phase == Waiting:
+		t.Phase, t.Run, t.Worker = Claimed, o.Run, o.Worker
+	case t.Phase == Claimed && o.Copy && t.CopyWorker == 0:
+		t.Copy, t.CopyWorker = o.Run, o.Worker
+	default:
+		return
+	}
+	if o.Saved != "" {
+		t.Saved = o.Saved
+	}
+	j.Started = true
+}
+
+func (s *State) end(o *End) {
+	j := s.jobs[o.Task.Job]
+	if j == nil {
+		return
+	}
+	step, ss, t := j.Task(o.Task)
+	if t == nil || t.Phase == Done {
+		return
+	}
+	if o.Saved != "" && (o.Run == t.Run || o.Run == t.Copy) {
+		t.Saved = o.Saved
+	}
+	switch {
+	case o.Kind == EndDone && !step.Lasting:
+		s.taskDone(j, o, step, ss, t)
+		return
+	case o.Kind == EndFailed:
+		s.taskFailed(j, o, step, ss, t)
+	}
+	t.release(o.Run)
+}
+
+// release takes a run that has ended off the task.
+func (t *Task) release(run uint32) {
+	switch {
+	case t.Phase != Claimed:
+	case run == t.Run && t.CopyWorker != 0:
+		t.Run, t.Worker, t.Copy, t.CopyWorker = t.Copy, t.CopyWorker, t.Run, 0
+	case run == t.Run:
+		t.Phase = Waiting
+	case run == t.Copy:
+		t.CopyWorker = 0
+	}
+}
+
+// taskDone notes a done task; the done end of one member stands for its whole gang.
+func (s *State) taskDone(j *Job, o *End, step *Step, ss *StepState, t *Task) {
+	if j.Outcome != Open {
+		t.release(o.Run)
+		return
+	}
+	if step.Gang {
+		for i := range ss.Tasks {
+			ss.Tasks[i].Phase = Done
+		}
+		ss.Done = len(ss.Tasks)
+	} else {
+		t.Phase = Done
+		ss.Done++
+	}
+	k := o.Task.Occurrence
+	if !ss.Finished() || !j.Occurrences[k].finished() {
+		return
+	}
+	if j.Finished == nil {
+		j.Finished = map[uint32]bool{}
+	}
+	j.Finished[k] = true
+	if len(j.Finished) == j.Spec.Occurrences() {
+		j.close(AllDone, o.AtMillis)
+		j.Occurrences = nil
+	} else {
+		delete(j.Occurrences, k)
+	}
+}
+
+// taskFailed counts a failed run, once for a gang, and closes the job after the last
+// attempt. Tasks that last are started again without a limit.
+func (s *State) taskFailed(j *Job, o *End, step *Step, ss *StepState, t *Task) {
+	if step.Lasting || j.Outcome != Open || o.Run != t.Run && o.Run != t.Copy {
+		return
+	}
+	failures := 0
+	if step.Gang {
+		if o.Run > ss.FailedRun {
+			ss.FailedRun = o.Run
+			ss.GangFailures++
+		}
+		failures = ss.GangFailures
+	} else {
+		t.Failures++
+		failures = t.Failures
+	}
+	if failures >= max(j.Queue.MaxAttempts, 1) {
+		j.close(Failed, o.AtMillis)
+	}
+}
+
+// PendingJobs returns how many accepted jobs of a queue wait for their first start.
+func (s *State) PendingJobs(queue string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Outcome == Open && !j.Started && j.Queue.Name == queue {
+			n++
+		}
+	}
+	return n
+}
--- a/raft/node.go
+++ b/raft/node.go
@@ -269,6 +269,18 @@
 // everything that was committed before its term when this equals its term.
 func (n *Node) AppliedTerm() uint64 { return n.log.appliedTerm }
 
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hs.Term }
+
+// Role returns the present role.
+func (n *Node) Role() Role { return n.role }
+
+// Leader returns the leader as far as it is known, else "".
+func (n *Node) Leader() NodeID { return n.leader }
+
+// ID returns the identity of this node.
+func (n *Node) ID() NodeID { return n.cfg.ID }
+
 // Status returns a view of the node.
 func (n *Node) Status() Status {
 	s := Status{ID: n.cfg.ID, Group: n.cfg.Group, Role: n.role, Term: n.hs.Term,
--- a/replica/group.go
+++ b/replica/group.go
@@ -183,7 +183,7 @@
 // Leads reports whether this node may act as the leader now: its lease is valid and it
 // has applied an entry of its own term, so it knows all that was committed before.
 func (g *Group) Leads(now time.Duration) bool {
-	return g.Node.LeaseValid(now) && g.Node.AppliedTerm() == g.Node.Status().Term
+	return g.Node.LeaseValid(now) && g.Node.AppliedTerm() == g.Node.Term()
 }
 
 // HandOver asks the most advanced other voter to lead.
--- a/storage/identity.go
+++ b/storage/identity.go
@@ -38,7 +38,13 @@
 // incarnation at the first start. The identity is durable when the call returns.
 // Errors: ErrWrongVM if the folder belongs to another VM, *CorruptError if the
 // identity is unreadable or missing beside group data, ErrLocked, *DiskError.
-func LoadIdentity(dir, vm string) (raft.NodeID, error) { return loadIdentity(OS{}, dir, vm) }
+func LoadIdentity(dir, vm string) (raft.NodeID, error) { return loadIdentity(OS{}, dir, vm, "") }
+
+// LoadIdentityAs is LoadIdentity with the incarnation to use at the first start; an empty
+// one means a random one. A given incarnation must belong to one life of the disk only.
+func LoadIdentityAs(dir, vm, incarnation string) (raft.NodeID, error) {
+	return loadIdentity(OS{}, dir, vm, incarnation)
+}
 
 // LockFolder keeps other processes out of the folder until the result is closed or
 // this process ends. It returns ErrLocked if another holder has it.
@@ -68,7 +74,7 @@
 	return id, nil
 }
 
-func loadIdentity(fsys FS, dir, vm string) (raft.NodeID, error) {
+func loadIdentity(fsys FS, dir, vm, incarnation string) (raft.NodeID, error) {
 	if err := mkdirSynced(fsys, dir); err != nil {
 		return "", err
 	}
@@ -80,7 +86,7 @@
 	path := filepath.Join(dir, identityFile)
 	raw, err := fsys.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return createIdentity(fsys, path, vm)
+		return createIdentity(fsys, path, vm, incarnation)
 	}
 	if err != nil {
 		return "", diskError(opRead, path, err)
@@ -104,7 +110,7 @@
 
 // createIdentity refuses a folder with group data: a new identity over an old log
 // would hide that votes and entries were acknowledged under the former identity.
-func createIdentity(fsys FS, path, vm string) (raft.NodeID, error) {
+func createIdentity(fsys FS, path, vm, incarnation string) (raft.NodeID, error) {
 	names, err := fsys.ReadDir(filepath.Dir(path))
 	if err != nil {
 		return "", diskError(opRead, filepath.Dir(path), err)
@@ -118,6 +124,10 @@
 	if err != nil {
 		return "", err
 	}
+	if incarnation != "" {
+		id.Incarnation = incarnation
+		id.Sum = xxhash.Sum64String(string(id.node()))
+	}
 	raw, err := json.Marshal(id)
 	if err != nil {
 		return "", errors.Wrap(err, "encode identity")
