--- a/cell/orders.go
+++ b/cell/orders.go
@@ -32,10 +32,10 @@
 }
 
 // reply runs fn on the loop if this replica still leads in the term of the order.
-func (h *host) reply(epoch uint64, fn func()) {
+func (h *host) reply(epoch uint64, fn func(now time.Duration)) {
 	h.n.loop.Post(func() {
 		if h.epoch == epoch {
-			fn()
+			fn(h.n.loop.Now())
 		}
 	})
 }
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), o.Wait+holdGrace)
 		defer cancel()
 		reply, report := h.n.workers.Hold(ctx, o)
-		h.reply(epoch, func() { h.sched.Reported(o.Worker.Number, sent, reply, report) })
+		h.reply(epoch, func(now time.Duration) { h.sched.Reported(now, o.Worker.Number, sent, reply, report) })
 	}()
 }
 
@@ -56,7 +56,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		reply, clock := h.n.workers.Start(ctx, o)
-		h.reply(epoch, func() { h.sched.Started(o.Task, o.Run, reply, clock) })
+		h.reply(epoch, func(now time.Duration) { h.sched.Started(now, o.Task, o.Run, reply, clock) })
 	}()
 }
 
@@ -66,7 +66,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		reply, clock := h.n.workers.Stop(ctx, o)
-		h.reply(epoch, func() { h.sched.Stopped(o.Task, o.Run, reply, clock) })
+		h.reply(epoch, func(now time.Duration) { h.sched.Stopped(now, o.Task, o.Run, reply, clock) })
 	}()
 }
 
@@ -91,7 +91,7 @@
 			}
 		}
 		valid := time.Duration(answer.ValidMillis) * time.Millisecond
-		h.reply(epoch, func() { h.sched.Advised(a.Via, a.Step, a.Workers, granted, valid, err == nil) })
+		h.reply(epoch, func(now time.Duration) { h.sched.Advised(now, a.Via, a.Step, a.Workers, granted, valid, err == nil) })
 	}()
 }
 
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -27,9 +27,9 @@
 		}
 		done(Reply{Code: OK, Document: h.state.Config().Document})
 	case Announce:
-		h.announce(c, done)
+		h.announce(now, c, done)
 	case SignOff:
-		h.sched.Gone(c.Worker)
+		h.sched.Gone(now, c.Worker)
 		done(Reply{Code: OK})
 	default:
 		done(Reply{Code: BadCall, Text: "unknown kind of call"})
@@ -161,13 +161,13 @@
 	h.propose(committedReply(done, Reply{Code: OK}), job.Op{Config: c})
 }
 
-func (h *host) announce(c Call, done func(Reply)) {
+func (h *host) announce(now time.Duration, c Call, done func(Reply)) {
 	reply := Reply{Code: OK, Public: h.n.settings.Public}
 	if c.Announcement == nil {
 		done(Reply{Code: BadCall, Text: "the announcement is missing"})
 		return
 	}
-	if h.sched.Announced(*c.Announcement) {
+	if h.sched.Announced(now, *c.Announcement) {
 		h.propose(committedReply(done, reply))
 		return
 	}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -165,7 +165,8 @@
 
 // Advised takes the answer to a call about workers. ok is false if there was none; valid
 // is how long the tickets hold from when the call was sent back.
-func (s *Scheduler) Advised(via string, ref job.StepRef, workers []job.Worker, granted []Ticket, valid time.Duration, ok bool) {
+func (s *Scheduler) Advised(now time.Duration, via string, ref job.StepRef, workers []job.Worker, granted []Ticket, valid time.Duration, ok bool) {
+	s.observe(now)
 	if m := s.advisors[via]; m != nil {
 		m.busy = false
 		if !ok {
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -167,7 +167,8 @@
 }
 
 // Started takes the reply to a start. clock is the worker's, 0 if it did not say.
-func (s *Scheduler) Started(ref job.TaskRef, run uint32, reply Reply, clock int64) {
+func (s *Scheduler) Started(now time.Duration, ref job.TaskRef, run uint32, reply Reply, clock int64) {
+	s.observe(now)
 	c := s.claims[claimKey{ref, run}]
 	if c == nil || !s.leading {
 		return
@@ -228,7 +229,8 @@
 }
 
 // Stopped takes the reply to a stop.
-func (s *Scheduler) Stopped(ref job.TaskRef, run uint32, reply Reply, clock int64) {
+func (s *Scheduler) Stopped(now time.Duration, ref job.TaskRef, run uint32, reply Reply, clock int64) {
+	s.observe(now)
 	c := s.claims[claimKey{ref, run}]
 	if c == nil || !s.leading {
 		return
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -118,6 +118,10 @@
 	s.addClaim(ref, run, w, step, claimAdopted)
 }
 
+// observe takes the time of an event. A time that lags behind the event would date an
+// answer before an order that was sent without knowing it.
+func (s *Scheduler) observe(now time.Duration) { s.now = max(s.now, now) }
+
 // Leading reports whether Lead was called and Reset was not called since.
 func (s *Scheduler) Leading() bool { return s.leading }
 
@@ -140,7 +144,8 @@
 
 // Tick tells the time. The embedder calls it every few milliseconds and after events.
 func (s *Scheduler) Tick(now time.Duration, wall int64) {
-	s.now, s.wall = max(s.now, now), wall
+	s.observe(now)
+	s.wall = wall
 	if !s.leading {
 		return
 	}
@@ -176,7 +181,7 @@
 	if !s.leading {
 		return
 	}
-	s.now = max(s.now, now)
+	s.observe(now)
 	s.dirty = true
 	switch {
 	case op.Claim != nil:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -17,6 +17,8 @@
 	holdRetryMax = time.Second
 	// freshFor is how old the newest answer of a worker may be for new work to go there.
 	freshFor = 2500 * time.Millisecond
+	// endsAtOnce is how many ends a worker lists in one answer.
+	endsAtOnce = 500
 	// vanishAfter is how long a worker without claims may be silent before its life counts
 	// as over. Workers announce themselves every few seconds at most.
 	vanishAfter = 15 * time.Second
@@ -74,7 +76,8 @@
 
 // Announced takes an announcement. It reports whether an operation was proposed that has
 // to be committed before the announcement is acknowledged.
-func (s *Scheduler) Announced(a Announcement) bool {
+func (s *Scheduler) Announced(now time.Duration, a Announcement) bool {
+	s.observe(now)
 	if !s.leading {
 		return false
 	}
@@ -104,7 +107,8 @@
 }
 
 // Gone takes a worker's word that it ends.
-func (s *Scheduler) Gone(name string) {
+func (s *Scheduler) Gone(now time.Duration, name string) {
+	s.observe(now)
 	if w := s.workers[s.byName[name]]; w != nil {
 		s.lifeOver(w, "worker signed off")
 	}
@@ -212,7 +216,8 @@
 }
 
 // Reported takes the answer to a Hold that was sent at the time sent.
-func (s *Scheduler) Reported(number uint32, sent time.Duration, reply Reply, r Report) {
+func (s *Scheduler) Reported(now time.Duration, number uint32, sent time.Duration, reply Reply, r Report) {
+	s.observe(now)
 	w := s.workers[number]
 	if w == nil || !s.leading {
 		return
@@ -272,6 +277,9 @@
 	if w.uncommitted > 0 {
 		s.propose(job.Op{Noted: &job.Noted{Worker: w.life.Number, Number: w.uncommitted}})
 	}
+	if len(r.Ended) >= endsAtOnce {
+		return // further ends may wait
+	}
 	for key, c := range w.claims {
 		if !listed[key] && c.knownBefore(sent) {
 			s.record(Decision{What: "run not listed", Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.life.Name, Reason: c.phase.String()})
