--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -51,8 +51,12 @@
 	confirmedAt time.Duration
 	// retryAt is when an unanswered start or stop is sent again; 0 while one is under way.
 	retryAt time.Duration
-	// uncertain is set while a start may have been carried out without an answer.
+	// uncertain is set once a start had no answer, or was sent by an earlier leader: a copy
+	// of it may still be on its way.
 	uncertain bool
+	// listed is set once the worker's list, which names its life, showed the run. The
+	// answer to a start does not tell which life gave it.
+	listed    bool
 	startedAt time.Duration
 	progress  progress
 }
@@ -87,8 +91,12 @@
 	return false
 }
 
+// mayStart reports whether a copy of the start may reach, or have reached, a later life of
+// the worker.
+func (c *claim) mayStart() bool { return c.uncertain || !c.listed }
+
 func (s *Scheduler) addClaim(ref job.TaskRef, run uint32, w *worker, step *job.Step, phase claimPhase) *claim {
-	c := &claim{key: claimKey{ref, run}, worker: w, step: step, phase: phase, startedAt: s.now}
+	c := &claim{key: claimKey{ref, run}, worker: w, step: step, phase: phase, startedAt: s.now, uncertain: phase == claimAdopted}
 	s.claims[c.key] = c
 	w.claims[c.key] = c
 	if step != nil {
@@ -136,7 +144,7 @@
 		s.removeClaim(c) // the job ended meanwhile, and the state did not take the claim
 		return
 	}
-	if c.worker.over || c.worker.leaving {
+	if c.worker.over || c.worker.leaving || s.workers[c.worker.life.Number] != c.worker {
 		s.proposeEnd(op.Task, op.Run, job.EndNotStarted, op.Saved)
 		s.removeClaim(c)
 		return
@@ -181,7 +189,7 @@
 	}
 	switch reply {
 	case Accepted:
-		c.phase, c.confirmedAt, c.uncertain = claimRunning, s.now, false
+		c.phase, c.confirmedAt = claimRunning, s.now
 	case RefusedOld:
 		s.deposed(w)
 	case OtherLife:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -125,16 +125,49 @@
 	w.over = true
 }
 
+// replaced notes that the worker has started again under its name, before the new life has
+// announced itself. Orders on their way to the old life reach the new one.
+func (s *Scheduler) replaced(w *worker) {
+	if w.over {
+		return
+	}
+	w.over = true
+	s.record(Decision{What: "worker life over", Worker: w.life.Name, Reason: "started again under its name", Age: s.now - w.okAt})
+	for _, c := range w.claims {
+		if !c.mayStart() {
+			s.loseClaim(c)
+		}
+	}
+}
+
+// inherit moves the claims whose starts may still reach the new life of a worker there, and
+// stops them, so that the new life refuses a late copy.
+func (s *Scheduler) inherit(old, heir *worker) {
+	for _, c := range old.claims {
+		if c.phase == claimProposed || !c.mayStart() {
+			continue
+		}
+		s.removeClaim(c)
+		moved := s.addClaim(c.key.task, c.key.run, heir, c.step, claimSent)
+		moved.saved, moved.uncertain = c.saved, true
+		s.stop(moved, "its worker started again under its name")
+	}
+}
+
 // loseClaims proposes the end of everything on a worker.
 func (s *Scheduler) loseClaims(w *worker) {
-	for key, c := range w.claims {
+	for _, c := range w.claims {
 		if c.phase != claimProposed {
-			s.proposeEnd(key.task, key.run, job.EndLost, c.saved)
-			s.removeClaim(c)
+			s.loseClaim(c)
 		}
 	}
 }
 
+func (s *Scheduler) loseClaim(c *claim) {
+	s.proposeEnd(c.key.task, c.key.run, job.EndLost, c.saved)
+	s.removeClaim(c)
+}
+
 // workerApplied follows the registry of lives.
 func (s *Scheduler) workerApplied(op *job.Worker) {
 	s.state.Workers(func(life *job.Worker) {
@@ -145,8 +178,12 @@
 			w.life, w.leaving = life, w.leaving || life.Leaving
 			return
 		}
-		s.addWorker(life, s.now)
+		old := s.workers[s.byName[life.Name]]
+		heir := s.addWorker(life, s.now)
 		s.record(Decision{What: "worker registered", Worker: life.Name})
+		if old != nil && old.life.Address == life.Address {
+			s.inherit(old, heir)
+		}
 	})
 	for number := range s.workers {
 		if s.state.Worker(number) == nil {
@@ -172,6 +209,9 @@
 func (s *Scheduler) tickWorkers() {
 	for _, w := range s.workers {
 		if w.over {
+			if len(w.claims) > 0 && s.now-w.heardAt > vanishAfter {
+				s.loseClaims(w)
+			}
 			continue
 		}
 		if w.failures > 0 && s.now >= w.leaseEnd && len(w.claims) > 0 {
@@ -236,7 +276,7 @@
 		return
 	}
 	if r.BornMillis != 0 && r.BornMillis != w.life.BornMillis {
-		s.lifeOver(w, "started again under its name")
+		s.replaced(w)
 		return
 	}
 	if w.failures > 0 {
@@ -297,6 +337,7 @@
 	if c.phase == claimSent || c.phase == claimAdopted {
 		c.phase, c.confirmedAt = claimRunning, s.now
 	}
+	c.listed = true
 	if run.Saved != "" {
 		c.saved = run.Saved
 	}
