dispatch: property over runs under faults; starts that reach a later life of a worker

A start that was on its way when the worker started again under its name ran on the new life, beside the task's next run.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # Packages with property tests. They get a fixed seed here, so that each run gives the
 # same verdict; "make soak" draws fresh seeds.
-PROPERTY_PACKAGES = ./raft ./control ./placement ./partition ./storage ./standin
+PROPERTY_PACKAGES = ./raft ./control ./placement ./partition ./storage ./standin ./dispatch
 OTHER_PACKAGES = $(filter-out $(patsubst ./%,%,$(PROPERTY_PACKAGES)),$(shell $(GO) list ./... | sed 's|^github.com/oleanderchute/oleanderchute/||'))
 SEED ?= 20261204
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -76,8 +76,11 @@
 
 // leaseBound is how long after the receipt of a clock value every lease that was counted
 // from it has ended.
-func (s *Scheduler) leaseBound() time.Duration {
-	return time.Duration(float64(s.lease()) * (1 + clockDrift))
+func (s *Scheduler) leaseBound() time.Duration { return s.bound(s.lease()) }
+
+// bound is the longest that d on a worker's clock can last.
+func (s *Scheduler) bound(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + clockDrift))
 }
 
 // Lead builds the soft state of a new leader. wall is the time of day that belongs to now.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -147,6 +147,9 @@
 		if c.phase == claimProposed || !c.mayStart() {
 			continue
 		}
+		// The order's lease was counted on the old life's clock, so it may last as long as
+		// the worker grants at all.
+		heir.leaseEnd = max(heir.leaseEnd, s.now+s.bound(s.settings.MaxLease))
 		s.removeClaim(c)
 		moved := s.addClaim(c.key.task, c.key.run, heir, c.step, claimSent)
 		moved.saved, moved.uncertain = c.saved, true
