dispatch: gangs book room; advice only where room is expected; bounded scans

Cause (traces of late tender jobs): a gang asked for tickets again and again while less urgent tasks took the room that came up; first questions waited up to 33 s behind short ones because all members were busy with questions of steps that had no chance of room. On the grown site each batch of events walked over all claims and all jobs, which took the leader's whole core. Change: a gang books room on granted workers and stops less urgent single tasks there; steps ask only while idle processors are expected to be left for them; a long question that waits is not overtaken by less urgent ones; ready steps are cached by job, scans run every 5 to 25 ms.

--- a/cell/host.go
+++ b/cell/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/oleanderchute/oleanderchute/dispatch"
 	"github.com/oleanderchute/oleanderchute/job"
@@ -66,6 +67,12 @@
 // logApplied notes a change of what this VM believes that concerns every VM.
 func (h *host) logApplied(op job.Op) {
 	switch {
+	case op.Submit != nil && h.epoch != 0:
+		spec := &op.Submit.Spec
+		h.n.log.Info("job accepted", zap.Stringer("job", op.Submit.ID), zap.String("route", op.Submit.Queue),
+			zap.Array("steps", stepsField(spec.Steps)), zap.Int("repetitions", spec.Repetitions), zap.Int64("version", h.state.Config().Version))
+	case op.Cancel != nil && h.epoch != 0:
+		h.n.log.Info("job cancelled", zap.Stringer("job", op.Cancel.ID))
 	case op.Config != nil:
 		h.n.log.Info("configuration applied", zap.Int64("version", op.Config.Version), zap.Int64("in_force", h.state.Config().Version))
 	case op.Member != nil:
@@ -180,3 +187,32 @@
 
 // handOver asks another voter to lead.
 func (h *host) handOver(now time.Duration) { h.group.HandOver(now) }
+
+// stepsField writes a job's steps into a log line.
+type stepsField []job.Step
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (f stepsField) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for i := range f {
+		if err := enc.AppendObject(stepField{&f[i]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type stepField struct{ *job.Step }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (f stepField) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddInt("tasks", f.Count)
+	enc.AddInt64("milli_cpu", f.Need.MilliCPU)
+	enc.AddInt64("memory_mb", f.Need.MemoryMB)
+	enc.AddInt64("estimate_ms", f.EstimateMillis)
+	for name, set := range map[string]bool{"gang": f.Gang, "fills": f.Fills, "copies": f.Copies, "lasting": f.Lasting, "checkpoints": f.Checkpoints} {
+		if set {
+			enc.AddBool(name, true)
+		}
+	}
+	return nil
+}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -94,28 +94,23 @@
 	}
 }
 
-// requestAdvice queues a call about the workers that may be of use and have no valid
-// ticket: granted ones whose ticket expired first, then unknown ones, each by free room.
-func (s *Scheduler) requestAdvice(r *readyStep, candidates []*worker) {
+// requestAdvice queues a call about a step that lacks valid tickets. Granted workers are
+// asked about again once they have the room that is needed; before that, workers about
+// which nothing is known.
+func (s *Scheduler) requestAdvice(r *readyStep, workers []*worker) {
 	a := s.adviceFor(r.ref)
 	if a.asking || s.now < a.retryAt {
 		return
 	}
-	list := slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool {
-		_, valid := a.ticketFor(w.life.Number, s.now)
-		return valid || a.denied[w.life.Number]
-	})
+	list := s.renewable(r, a, workers)
 	if len(list) == 0 {
-		return
+		list = s.unknown(r, a, workers)
 	}
-	known := func(w *worker) int {
-		if _, granted := a.tickets[w.life.Number]; granted {
-			return 0
-		}
-		return 1
+	if len(list) == 0 {
+		return
 	}
 	slices.SortStableFunc(list, func(x, y *worker) int {
-		return cmp.Or(known(x)-known(y), cmp.Compare(y.free().MilliCPU, x.free().MilliCPU))
+		return cmp.Compare(y.free().MilliCPU, x.free().MilliCPU)
 	})
 	list = list[:min(len(list), askAtMost)]
 	terms := r.job.Queue.Advisor
@@ -128,6 +123,43 @@
 	s.asks = append(s.asks, q)
 }
 
+// renewable returns the granted workers with room and no valid ticket, if all granted ones
+// together have the room that the step needs to go on.
+func (s *Scheduler) renewable(r *readyStep, a *advice, workers []*worker) []*worker {
+	var out []*worker
+	room := 0
+	for _, w := range workers {
+		if _, granted := a.tickets[w.life.Number]; !granted {
+			continue
+		}
+		n := s.slots(r, w, s.yielding(r, w))
+		room += n
+		if _, valid := a.ticketFor(w.life.Number, s.now); n > 0 && !valid {
+			out = append(out, w)
+		}
+	}
+	if room == 0 || r.step.Gang && room < len(r.waiting) {
+		return nil
+	}
+	return out
+}
+
+// unknown returns the workers about which the advisor was not asked; for tasks that start
+// one by one, those with room.
+func (s *Scheduler) unknown(r *readyStep, a *advice, workers []*worker) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		_, granted := a.tickets[w.life.Number]
+		if granted || a.denied[w.life.Number] || !w.life.HasLabel(r.step.Label) {
+			continue
+		}
+		if r.step.Gang || s.slots(r, w, s.yielding(r, w)) > 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // sendAsks hands calls to free members, the most urgent first.
@@ -139,9 +171,16 @@
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.due, y.due))
 	})
 	free := s.freeAdvisors()
+	keep := min(longAsksKeepFree, len(s.advisors)/2)
+	var blocked *ask // the most urgent long call that waits
 	waiting := s.asks[:0]
 	for _, q := range s.asks {
-		if len(free) == 0 || q.length > longAsk && len(free) <= min(longAsksKeepFree, len(s.advisors)/2) {
+		long := q.length > longAsk
+		if long && len(free) <= keep && blocked == nil {
+			blocked = q
+		}
+		// What is kept free of long calls is for calls that are more urgent than those.
+		if len(free) == 0 || long && len(free) <= keep || blocked != nil && q.priority >= blocked.priority {
 			waiting = append(waiting, q)
 			continue
 		}
@@ -179,6 +218,9 @@
 	}
 	a.asking = false
 	s.dirty = true
+	for _, r := range s.ready[ref.Job] {
+		r.retryAt = 0
+	}
 	s.record(Decision{What: "advice", Job: ref.Job, Task: job.TaskRef{StepRef: ref}, Worker: via, Reason: adviceReason(len(granted), len(workers), ok)})
 	if !ok {
 		a.retryAt = s.now + askPause
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -91,6 +91,14 @@
 	return false
 }
 
+// reserved is the room that the claim takes.
+func (c *claim) reserved() job.Resources {
+	if c.step == nil {
+		return job.Resources{}
+	}
+	return c.step.Reserved()
+}
+
 // mayStart reports whether a copy of the start may reach, or have reached, a later life of
 // the worker.
 func (c *claim) mayStart() bool { return c.uncertain || !c.listed }
@@ -136,6 +144,7 @@
 // claimApplied sends the start of a claim that is committed.
 func (s *Scheduler) claimApplied(op *job.Claim) {
 	delete(s.proposed, op.Task)
+	s.touched[op.Task.Job] = true
 	c := s.claims[claimKey{op.Task, op.Run}]
 	if c == nil || c.phase != claimProposed {
 		return
@@ -183,7 +192,9 @@
 	}
 	w := c.worker
 	s.noteClock(w, clock)
-	s.record(Decision{What: "start answered", Job: ref.Job, Task: ref, Run: run, Worker: w.life.Name, Reason: reply.String(), Age: s.now - c.startedAt})
+	if reply != Accepted {
+		s.record(Decision{What: "start refused", Job: ref.Job, Task: ref, Run: run, Worker: w.life.Name, Reason: reply.String(), Age: s.now - c.startedAt})
+	}
 	if c.phase != claimSent {
 		return // the lists or a stop went first
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,14 +16,20 @@
 	return fmt.Sprintf("%d of %d workers granted", granted, asked)
 }
 
+// placeRetry is how long a step that found no room waits before it is tried again. Room
+// comes up with every end, so an earlier try is mostly in vain.
+const placeRetry = 25 * time.Millisecond
+
 // readyStep is a step with tasks that may start now.
 type readyStep struct {
 	job     *job.Job
 	ref     job.StepRef
 	step    *job.Step
-	state   *job.StepState
+	state   *job.StepState // nil before the first claim
 	waiting []uint16
 	due     int64 // Unix milliseconds by which its job should be done
+	// retryAt is when the step is tried again after it found no room.
+	retryAt time.Duration
 }
 
 // decide places what can be placed, the most urgent work first.
@@ -32,41 +38,110 @@
 	if len(ready) == 0 {
 		return
 	}
-	workers := s.sortedWorkers()
-	held := map[uint32]bool{}
+	s.dropStaleBookings()
+	pools := s.usableByPool()
+	s.idle = idleCPU(pools)
 	for _, r := range ready {
-		s.placeStep(r, workers, held)
+		s.placeStep(r, pools)
+	}
+}
+
+// idleCPU sums the processors that are not reserved, by pool, in thousandths of a core.
+func idleCPU(pools map[string][]*worker) map[string]int64 {
+	idle := map[string]int64{}
+	for pool, workers := range pools {
+		for _, w := range workers {
+			idle[pool] += max(w.free().MilliCPU, 0)
+		}
+	}
+	return idle
+}
+
+// usableByPool lists the workers that take new work, by pool and number.
+func (s *Scheduler) usableByPool() map[string][]*worker {
+	pools := map[string][]*worker{}
+	for _, w := range s.sortedWorkers() {
+		if s.usable(w) {
+			pools[w.life.Pool] = append(pools[w.life.Pool], w)
+		}
 	}
+	return pools
 }
 
 // readySteps lists the steps whose dependencies are done, by priority and due time.
 func (s *Scheduler) readySteps() []*readyStep {
+	for id := range s.touched {
+		s.refresh(id)
+	}
+	clear(s.touched)
 	var out []*readyStep
-	s.state.Jobs(func(j *job.Job) {
-		if j.Outcome != job.Open {
-			return
-		}
-		for k := range j.Spec.Occurrences() {
-			n := uint32(k)
-			if j.Finished[n] {
-				continue
-			}
-			if at := j.DueMillis(n); at > 0 && s.wall < at {
-				s.wakeAt(at)
-				break // later occurrences are due later
-			}
-			out = s.readyOf(j, n, out)
-		}
-	})
+	for _, steps := range s.ready {
+		out = append(out, steps...)
+	}
 	slices.SortFunc(out, func(a, b *readyStep) int {
-		return cmp.Or(cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), cmp.Compare(a.due, b.due),
+		return cmp.Or(cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), s.lateRank(a)-s.lateRank(b), cmp.Compare(a.due, b.due),
 			cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Step, b.ref.Step))
 	})
 	return out
 }
 
-// wakeAt makes the scheduler look again when an occurrence is due.
-func (s *Scheduler) wakeAt(int64) { s.dirty = true }
+// lateRank puts jobs that can still be in time before those that cannot.
+func (s *Scheduler) lateRank(r *readyStep) int {
+	if s.wall > r.due {
+		return 1
+	}
+	return 0
+}
+
+// refresh makes the list of a job's ready steps anew.
+func (s *Scheduler) refresh(id job.ID) {
+	j := s.state.Job(id)
+	if j == nil || j.Outcome != job.Open {
+		delete(s.ready, id)
+		return
+	}
+	var steps []*readyStep
+	for k := range j.Spec.Occurrences() {
+		n := uint32(k)
+		if j.Finished[n] {
+			continue
+		}
+		if at := j.DueMillis(n); at > s.wall {
+			s.wake = append(s.wake, wakeUp{id, at})
+			break // later occurrences are due later
+		}
+		steps = s.readyOf(j, n, steps)
+	}
+	if len(steps) == 0 {
+		delete(s.ready, id)
+		return
+	}
+	for _, r := range steps {
+		for _, old := range s.ready[id] {
+			if old.ref == r.ref {
+				r.retryAt = old.retryAt
+			}
+		}
+	}
+	s.ready[id] = steps
+}
+
+// wakeUp is a job with an occurrence that is due later.
+type wakeUp struct {
+	id       job.ID
+	atMillis int64
+}
+
+// wakeDue refreshes the jobs with an occurrence that has become due.
+func (s *Scheduler) wakeDue() {
+	s.wake = slices.DeleteFunc(s.wake, func(w wakeUp) bool {
+		if w.atMillis > s.wall {
+			return false
+		}
+		s.touched[w.id], s.dirty = true, true
+		return true
+	})
+}
 
 func (s *Scheduler) readyOf(j *job.Job, k uint32, out []*readyStep) []*readyStep {
 	o := j.Occurrences[k]
@@ -121,47 +196,66 @@
 	return longest
 }
 
-// placeStep claims workers for the waiting tasks of a step. A step that finds no room
-// keeps its workers from less urgent steps of this pass.
-func (s *Scheduler) placeStep(r *readyStep, workers []*worker, held map[uint32]bool) {
-	eligible := s.eligible(r, workers, held)
+// placeStep claims workers for the waiting tasks of a step. A step that finds no room books
+// it, so that it does not go to others as it comes up.
+func (s *Scheduler) placeStep(r *readyStep, pools map[string][]*worker) {
+	if s.now < r.retryAt {
+		s.dirty = true
+		return
+	}
+	workers := pools[s.poolOf(r.job)]
+	eligible := s.eligible(r, workers)
 	placed := s.assign(r, eligible)
 	if r.step.Gang && len(placed) < len(r.waiting) {
 		placed = nil
 	}
+	if len(placed) > 0 {
+		s.dropBooking(r.ref)
+	}
 	for i, w := range placed {
 		s.claimTask(r, r.waiting[i], w)
 	}
-	if missing := len(r.waiting) - len(placed); missing > 0 {
-		s.reserve(r, eligible, held)
+	r.waiting = r.waiting[len(placed):]
+	if len(r.waiting) == 0 {
+		s.touched[r.ref.Job] = true
+		return
+	}
+	r.retryAt, s.dirty = s.now+placeRetry, true
+	booked := s.book(r, eligible)
+	if r.job.Queue.Advisor != nil && !booked && s.expectsRoom(r) {
+		s.requestAdvice(r, workers)
 	}
 }
 
-// eligible returns the workers that may run the step, with tickets if its queue needs them.
-func (s *Scheduler) eligible(r *readyStep, workers []*worker, held map[uint32]bool) []*worker {
+// expectsRoom reports whether the idle processors are more than what the steps before this
+// one in the pass can use, and counts this one in. A gang is asked about in any case, since
+// what is granted does not change.
+func (s *Scheduler) expectsRoom(r *readyStep) bool {
 	pool := s.poolOf(r.job)
+	left := s.idle[pool]
+	s.idle[pool] -= r.step.Reserved().MilliCPU * int64(len(r.waiting))
+	return r.step.Gang || left >= r.step.Reserved().MilliCPU
+}
+
+// eligible returns the workers that may run the step, with tickets if its queue needs them.
+func (s *Scheduler) eligible(r *readyStep, workers []*worker) []*worker {
+	var a *advice
+	if r.job.Queue.Advisor != nil {
+		a = s.adviceFor(r.ref)
+	}
 	var out []*worker
-	fitting := 0
 	for _, w := range workers {
-		if w.life.Pool == pool && w.life.HasLabel(r.step.Label) && s.usable(w) && !held[w.life.Number] {
-			out = append(out, w)
-			if w.free().Fits(r.step.Reserved()) {
-				fitting++
+		if !w.life.HasLabel(r.step.Label) {
+			continue
+		}
+		if a != nil {
+			if _, valid := a.ticketFor(w.life.Number, s.now); !valid {
+				continue
 			}
 		}
+		out = append(out, w)
 	}
-	if r.job.Queue.Advisor == nil {
-		return out
-	}
-	a := s.adviceFor(r.ref)
-	allowed := slices.DeleteFunc(slices.Clone(out), func(w *worker) bool {
-		_, valid := a.ticketFor(w.life.Number, s.now)
-		return !valid
-	})
-	if s.roomFor(r, allowed) < len(r.waiting) && fitting > 0 {
-		s.requestAdvice(r, out)
-	}
-	return allowed
+	return out
 }
 
 // poolOf returns the pool of a job's queue as the configuration has it now.
@@ -172,16 +266,13 @@
 	return j.Queue.Pool
 }
 
-// roomFor counts how many tasks of a step the workers can take now.
-func (s *Scheduler) roomFor(r *readyStep, workers []*worker) int {
-	n := 0
+// slots counts the tasks of a step that fit into room on a worker.
+func (s *Scheduler) slots(r *readyStep, w *worker, room job.Resources) int {
 	need := r.step.Reserved()
-	for _, w := range workers {
-		free := w.free()
-		for k := s.onWorker(r, w); free.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < len(r.waiting); k++ {
-			free = free.Minus(need)
-			n++
-		}
+	n := 0
+	for k := s.onWorker(r, w); room.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < len(r.waiting); k++ {
+		room = room.Minus(need)
+		n++
 	}
 	return n
 }
@@ -240,8 +331,8 @@
 	rooms := make([]*tentative, 0, len(workers))
 	need := r.step.Reserved()
 	for _, w := range workers {
-		if w.free().Fits(need) {
-			rooms = append(rooms, &tentative{w, w.free(), s.onWorker(r, w), w.fillCPU})
+		if free := w.available(r.ref); free.Fits(need) {
+			rooms = append(rooms, &tentative{w, free, s.onWorker(r, w), w.fillCPU})
 		}
 	}
 	var placed []*worker
@@ -287,17 +378,6 @@
 	return best
 }
 
-// reserve keeps the eligible workers with the most room from less urgent steps, as many as
-// the step could use.
-func (s *Scheduler) reserve(r *readyStep, eligible []*worker, held map[uint32]bool) {
-	slices.SortStableFunc(eligible, func(a, b *worker) int {
-		return cmp.Compare(b.free().MilliCPU, a.free().MilliCPU)
-	})
-	for _, w := range eligible[:min(len(eligible), len(r.waiting))] {
-		held[w.life.Number] = true
-	}
-}
-
 // claimTask reserves the room and proposes the claim.
 func (s *Scheduler) claimTask(r *readyStep, index uint16, w *worker) {
 	ref := job.TaskRef{StepRef: r.ref, Index: index}
@@ -332,8 +412,3 @@
 	}
 	return run + 1, saved
 }
-
-// chainSlack is the time left until a step's job is due.
-func (r *readyStep) slack(wall int64) time.Duration {
-	return time.Duration(r.due-wall) * time.Millisecond
-}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,6 +15,10 @@
 	clockDrift = 0.025
 	// decideEvery bounds how often all waiting work is looked at.
 	decideEvery = 5 * time.Millisecond
+	// scanWorkersEvery and scanClaimsEvery bound how often all workers and all claims are
+	// looked at for what is due.
+	scanWorkersEvery = 5 * time.Millisecond
+	scanClaimsEvery  = 25 * time.Millisecond
 	// forgetEvery is how often ended jobs are looked at for removal.
 	forgetEvery = 5 * time.Second
 )
@@ -37,13 +41,24 @@
 	claims   map[claimKey]*claim
 	proposed map[job.TaskRef]bool // claims that are not committed
 	advice   map[job.StepRef]*advice
+	bookings map[job.StepRef]*booking
 	avoid    map[job.TaskRef]uint32 // the worker on which a task failed last
 	advisors map[string]*advisor
 	asks     []*ask
 
-	dirty      bool
-	nextDecide time.Duration
-	nextForget time.Duration
+	// ready holds the steps with waiting tasks of each job; touched are the jobs for which
+	// it has to be made anew.
+	ready   map[job.ID][]*readyStep
+	touched map[job.ID]bool
+	wake    []wakeUp
+	// idle is what a pass of decide expects to be left of each pool's processors.
+	idle map[string]int64
+
+	dirty       bool
+	nextDecide  time.Duration
+	nextForget  time.Duration
+	nextWorkers time.Duration
+	nextClaims  time.Duration
 }
 
 // New returns a scheduler for a state that the caller applies operations to. record gets
@@ -60,7 +75,10 @@
 	s.workers, s.byName = map[uint32]*worker{}, map[string]uint32{}
 	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
+	s.bookings = map[job.StepRef]*booking{}
 	s.asks, s.actions, s.ops = nil, nil, nil
+	s.ready, s.touched, s.wake = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
+	s.nextDecide, s.nextWorkers, s.nextClaims = 0, 0, 0
 	for _, a := range s.advisors {
 		a.busy = false
 	}
@@ -88,6 +106,7 @@
 	s.Reset(s.state)
 	s.leading, s.term, s.now, s.wall = true, term, now, wall
 	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.leaseBound()) })
+	s.state.OpenJobs(func(j *job.Job) { s.touched[j.ID] = true })
 	s.state.Jobs(func(j *job.Job) { s.adoptClaims(j) })
 	s.dirty = true
 }
@@ -152,8 +171,15 @@
 	if !s.leading {
 		return
 	}
-	s.tickWorkers()
-	s.tickClaims()
+	if now >= s.nextWorkers {
+		s.nextWorkers = now + scanWorkersEvery
+		s.tickWorkers()
+	}
+	if now >= s.nextClaims {
+		s.nextClaims = now + scanClaimsEvery
+		s.tickClaims()
+		s.wakeDue()
+	}
 	if now >= s.nextForget {
 		s.nextForget = now + forgetEvery
 		s.forgetEnded()
@@ -187,11 +213,15 @@
 	s.observe(now)
 	s.dirty = true
 	switch {
+	case op.Submit != nil:
+		s.touched[op.Submit.ID] = true
 	case op.Claim != nil:
 		s.claimApplied(op.Claim)
 	case op.End != nil:
+		s.touched[op.End.Task.Job] = true
 		s.endApplied(op.End)
 	case op.Cancel != nil:
+		s.touched[op.Cancel.ID] = true
 		s.stopJob(op.Cancel.ID, "job cancelled")
 	case op.Worker != nil:
 		s.workerApplied(op.Worker)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -35,6 +35,7 @@
 	used     job.Resources
 	fillCPU  int64 // processors that filling tasks ask for, in thousandths
 	claims   map[claimKey]*claim
+	booked   map[job.StepRef]job.Resources // room kept for steps
 
 	holding  bool // a Hold is under way
 	nextHold time.Duration
@@ -53,7 +54,7 @@
 }
 
 func (s *Scheduler) addWorker(life *job.Worker, leaseEnd time.Duration) *worker {
-	w := &worker{life: life, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, heardAt: s.now, leaving: life.Leaving}
+	w := &worker{life: life, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, booked: map[job.StepRef]job.Resources{}, heardAt: s.now, leaving: life.Leaving}
 	s.workers[life.Number] = w
 	s.byName[life.Name] = life.Number
 	return w
--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -17,6 +17,9 @@
 	// bytesPerSecond bounds the volume; bursts may use what the last second left.
 	bytesPerSecond = 512 << 10
 	flushEvery     = 100 * time.Millisecond
+	// writeBytes bounds one write, so that a pipe takes it as a whole (PIPE_BUF). A line
+	// that is longer goes by itself.
+	writeBytes = 4096
 )
 
 // Writer implements zapcore.WriteSyncer. Close ends its goroutine.
@@ -83,13 +86,21 @@
 			continue
 		}
 		budget -= len(line)
+		if len(batch)+len(line) > writeBytes {
+			w.write(batch)
+			batch = batch[:0]
+		}
 		batch = append(batch, line...)
 	}
+	w.write(batch)
 	if n := w.dropped.Swap(0); n > 0 {
-		batch = fmt.Appendf(batch, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+		w.write(fmt.Appendf(nil, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n))
 	}
+	return budget
+}
+
+func (w *Writer) write(batch []byte) {
 	if len(batch) > 0 {
 		_, _ = w.out.Write(batch) // there is nowhere to report a log that cannot be written
 	}
-	return budget
 }
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -36,6 +36,11 @@
 	if i.Jobs != nil {
 		fresh.jobs = i.Jobs
 	}
+	for id, j := range fresh.jobs {
+		if j.Outcome == Open {
+			fresh.open[id] = j
+		}
+	}
 	if i.Workers != nil {
 		fresh.workers = i.Workers
 	}
--- a/job/state.go
+++ b/job/state.go
@@ -13,6 +13,7 @@
 	config  Config
 	queues  queueIndex
 	jobs    map[ID]*Job
+	open    map[ID]*Job // the jobs whose outcome is Open
 	workers map[uint32]*Worker
 	members map[string]Member // by address
 	last    uint32            // number of the newest worker life
@@ -20,7 +21,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{jobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}, queues: queueIndex{}}
+	return &State{jobs: map[ID]*Job{}, open: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}, queues: queueIndex{}}
 }
 
 // Config returns the configuration in force; version 0 before the first.
@@ -39,6 +40,13 @@
 	}
 }
 
+// OpenJobs calls fn for each job that has not ended, in no order.
+func (s *State) OpenJobs(fn func(*Job)) {
+	for _, j := range s.open {
+		fn(j)
+	}
+}
+
 // Worker returns a worker life that is not over, or nil.
 func (s *State) Worker(number uint32) *Worker { return s.workers[number] }
 
@@ -105,6 +113,7 @@
 	case op.Forget != nil:
 		for _, id := range op.Forget {
 			delete(s.jobs, id)
+			delete(s.open, id)
 		}
 	}
 }
@@ -148,7 +157,8 @@
 	}
 	for i := range s.config.Queues {
 		if q := s.config.Queues[i]; q.Name == o.Queue {
-			s.jobs[o.ID] = &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis}
+			j := &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis}
+			s.jobs[o.ID], s.open[o.ID] = j, j
 			return
 		}
 	}
@@ -156,13 +166,14 @@
 
 func (s *State) cancel(o *Cancel) {
 	if j := s.jobs[o.ID]; j != nil && j.Outcome == Open {
-		j.close(Canceled, o.AtMillis)
+		s.close(j, Canceled, o.AtMillis)
 	}
 }
 
 // close ends a job. Its payload is dropped, since no task of it starts again; the tasks
 // stay until their workers have listed their ends.
-func (j *Job) close(o Outcome, atMillis int64) {
+func (s *State) close(j *Job, o Outcome, atMillis int64) {
+	delete(s.open, j.ID)
 	j.Outcome, j.EndedMillis = o, atMillis
 	j.Spec.Payload = ""
 }
@@ -250,7 +261,7 @@
 	}
 	j.Finished[k] = true
 	if len(j.Finished) == j.Spec.Occurrences() {
-		j.close(AllDone, o.AtMillis)
+		s.close(j, AllDone, o.AtMillis)
 		j.Occurrences = nil
 	} else {
 		delete(j.Occurrences, k)
@@ -272,15 +283,15 @@
 		*failed = append(*failed, o.Run)
 	}
 	if len(*failed) >= max(j.Queue.MaxAttempts, 1) {
-		j.close(Failed, o.AtMillis)
+		s.close(j, Failed, o.AtMillis)
 	}
 }
 
 // PendingJobs returns how many accepted jobs of a queue wait for their first start.
 func (s *State) PendingJobs(queue string) int {
 	n := 0
-	for _, j := range s.jobs {
-		if j.Outcome == Open && !j.Started && j.Queue.Name == queue {
+	for _, j := range s.open {
+		if !j.Started && j.Queue.Name == queue {
 			n++
 		}
 	}
