--- a/cell/ask.go
+++ b/cell/ask.go
@@ -15,6 +15,13 @@
 // without a clear reply is repeated, at another VM if need be, until ctx ends. The code is
 // Unavailable if no copy of the call can have been carried out, and Unknown if one may.
 func (n *Node) Ask(ctx context.Context, c Call) Reply {
+	began := time.Now()
+	reply := n.ask(ctx, c)
+	n.metrics.called(c.Kind, reply, time.Since(began))
+	return reply
+}
+
+func (n *Node) ask(ctx context.Context, c Call) Reply {
 	uncertain := false
 	for {
 		reply, maybe := n.askOnce(ctx, c)
--- a/cell/host.go
+++ b/cell/host.go
@@ -41,7 +41,7 @@
 func newHost(n *Node) *host {
 	h := &host{n: n, state: job.NewState(), waiting: map[uint64]proposal{},
 		submitting: map[job.ID][]func(bool){}, seen: map[string]time.Duration{}}
-	h.sched = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log))
+	h.sched = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log, n.metrics))
 	return h
 }
 
@@ -104,6 +104,9 @@
 		if now >= h.nextReconcile {
 			h.nextReconcile = now + replica.ReconcileInterval
 			h.reconcile(now)
+			open, workers := h.sched.Load()
+			h.n.metrics.openJobs.Set(float64(open))
+			h.n.metrics.workers.Set(float64(workers))
 		}
 	}
 	h.group.Pump(now)
@@ -121,6 +124,7 @@
 	}
 	if h.epoch == 0 && h.group.Leads(now) {
 		h.epoch = node.Term()
+		h.n.metrics.leader.Set(1)
 		h.seen = map[string]time.Duration{}
 		h.state.Members(func(m job.Member) { h.seen[m.Address] = now })
 		h.sched.Lead(now, time.Now().UnixMilli(), h.epoch)
@@ -131,6 +135,7 @@
 func (h *host) loseLeadership() {
 	h.n.log.Info("leadership lost", zap.Uint64("term", h.epoch), zap.String("leader", string(h.group.Node.Leader())))
 	h.epoch = 0
+	h.n.metrics.leader.Set(0)
 	h.sched.Reset(h.state)
 	lost := h.done
 	h.ops, h.done = nil, nil
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -19,6 +19,15 @@
 	SignOff
 )
 
+// String returns the kind as it stands in logs and metrics.
+func (k Kind) String() string {
+	names := [...]string{"none", "submit", "state", "cancel", "pending", "put_config", "get_config", "announce", "sign_off"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return "invalid"
+}
+
 // Call is a call that only the leader can serve. Fields that its kind does not need are
 // empty.
 type Call struct {
--- /dev/null
+++ b/cell/metrics.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/oleanderchute/oleanderchute/dispatch"
+)
+
+// latencyBuckets are in seconds: a call within one zone takes a few milliseconds, one that
+// waits for an election seconds.
+var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+
+// metrics are the counters and latencies of one VM.
+type metrics struct {
+	registry     *prometheus.Registry
+	calls        *prometheus.CounterVec
+	callSeconds  *prometheus.HistogramVec
+	orders       *prometheus.CounterVec
+	orderSeconds *prometheus.HistogramVec
+	decisions    *prometheus.CounterVec
+	leader       prometheus.Gauge
+	openJobs     prometheus.Gauge
+	workers      prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_calls_total",
+			Help: "Calls passed to the leader by this VM, by kind and outcome."}, []string{"kind", "outcome"}),
+		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_call_seconds",
+			Help: "Time until a call was answered.", Buckets: latencyBuckets}, []string{"kind"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_orders_total",
+			Help: "Orders to workers, by kind and reply."}, []string{"order", "reply"}),
+		orderSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_order_seconds",
+			Help: "Time until a start or stop was answered.", Buckets: latencyBuckets}, []string{"order"}),
+		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_decisions_total",
+			Help: "Decisions of the leader, by what was decided."}, []string{"what"}),
+		leader:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_leader", Help: "1 while this VM leads."}),
+		openJobs: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_open_jobs", Help: "Jobs that have not ended, on the leader."}),
+		workers:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_workers", Help: "Worker lives known to the leader."}),
+	}
+	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers)
+	return m
+}
+
+func (m *metrics) called(k Kind, r Reply, took time.Duration) {
+	m.calls.WithLabelValues(k.String(), r.Code.String()).Inc()
+	m.callSeconds.WithLabelValues(k.String()).Observe(took.Seconds())
+}
+
+func (m *metrics) ordered(order string, reply dispatch.Reply, took time.Duration) {
+	m.orders.WithLabelValues(order, reply.String()).Inc()
+	m.orderSeconds.WithLabelValues(order).Observe(took.Seconds())
+}
+
+// Metrics returns the registry of this VM's counters and latencies.
+func (n *Node) Metrics() *prometheus.Registry { return n.metrics.registry }
--- a/cell/node.go
+++ b/cell/node.go
@@ -31,6 +31,7 @@
 	workers  WorkerClient
 	advisor  AdvisorClient
 	log      *zap.Logger
+	metrics  *metrics
 	loop     *replica.Loop
 	peers    *peers
 	finder   *finder
@@ -42,7 +43,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	n := &Node{settings: settings, workers: workers, advisor: advisor, log: log, loop: replica.NewLoop()}
+	n := &Node{settings: settings, workers: workers, advisor: advisor, log: log, metrics: newMetrics(), loop: replica.NewLoop()}
 	n.peers = newPeers(n)
 	n.finder = newFinder(settings.Address, settings.Seeds)
 	return n, nil
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -46,6 +46,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), o.Wait+holdGrace)
 		defer cancel()
 		reply, report := h.n.workers.Hold(ctx, o)
+		h.n.metrics.orders.WithLabelValues("hold", reply.String()).Inc()
 		h.reply(epoch, func(now time.Duration) { h.sched.Reported(now, o.Worker.Number, sent, reply, report) })
 	}()
 }
@@ -55,7 +56,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
+		began := time.Now()
 		reply, clock := h.n.workers.Start(ctx, o)
+		h.n.metrics.ordered("start", reply, time.Since(began))
 		h.reply(epoch, func(now time.Duration) { h.sched.Started(now, o.Task, o.Run, reply, clock) })
 	}()
 }
@@ -65,7 +68,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
+		began := time.Now()
 		reply, clock := h.n.workers.Stop(ctx, o)
+		h.n.metrics.ordered("stop", reply, time.Since(began))
 		h.reply(epoch, func(now time.Duration) { h.sched.Stopped(now, o.Task, o.Run, reply, clock) })
 	}()
 }
@@ -107,9 +112,10 @@
 	return reply, err
 }
 
-// decisionLogger writes decisions as log lines.
-func decisionLogger(log *zap.Logger) func(dispatch.Decision) {
+// decisionLogger writes decisions as log lines and counts them.
+func decisionLogger(log *zap.Logger, m *metrics) func(dispatch.Decision) {
 	return func(d dispatch.Decision) {
+		m.decisions.WithLabelValues(d.What).Inc()
 		fields := make([]zap.Field, 0, 8)
 		if d.Job != 0 {
 			fields = append(fields, zap.Stringer("job", d.Job))
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -144,8 +144,8 @@
 // answer before an order that was sent without knowing it.
 func (s *Scheduler) observe(now time.Duration) { s.now = max(s.now, now) }
 
-// Leading reports whether Lead was called and Reset was not called since.
-func (s *Scheduler) Leading() bool { return s.leading }
+// Load returns the number of jobs that have not ended and of known worker lives.
+func (s *Scheduler) Load() (openJobs, workers int) { return s.state.OpenCount(), len(s.workers) }
 
 // Actions returns what has gathered since the last call, operations first.
 func (s *Scheduler) Actions() []Action {
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -19,7 +19,6 @@
 	runs    map[claimKey]*fakeRun
 	closed  map[job.TaskRef]uint32 // highest run stopped or ended
 	ended   []Ended
-	acked   uint64
 	last    uint64
 	seq     uint64
 	poll    func() // answers the Hold that waits
--- a/job/state.go
+++ b/job/state.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// OpenCount returns how many jobs have not ended.
+func (s *State) OpenCount() int { return len(s.open) }
+
 // Worker returns a worker life that is not over, or nil.
 func (s *State) Worker(number uint32) *Worker { return s.workers[number] }
 
