dispatch: calls to the advisor beside each other; late jobs behind those in time

Cause (grown site, from the log: 2,000 to 6,500 of 11,000 cores in use while jobs waited): a gang asked 30 workers at a time, so its tickets were never valid together, and waiting gangs counted as takers of all idle processors, so other steps did not ask.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -9,8 +9,19 @@
 )
 
 const (
-	// askAtMost is the number of workers named in one call.
-	askAtMost = 30
+	// askAtMost and askAtLeast bound the number of workers named in one call: the advisor
+	// takes 100, and its time rises with each.
+	askAtMost  = 30
+	askAtLeast = 20
+	// asksAtOnce bounds the calls under way about one step. Tickets of calls made one after
+	// the other would not be valid together.
+	asksAtOnce = 4
+	// askSurplus is by how much the room that is asked for exceeds what the step needs.
+	askSurplus = 1.3
+	// firstGrantRate is assumed of a queue of which nothing is known, grantWeight is the
+	// weight of a new answer in the mean.
+	firstGrantRate = 0.4
+	grantWeight    = 0.1
 	// ticketMargin is the part of a ticket's life kept for the way of an order to a worker.
 	ticketMargin = 150 * time.Millisecond
 	// longAsk is the length from which a call counts as long; longAsksKeepFree members are
@@ -34,7 +45,8 @@
 type advice struct {
 	tickets map[uint32]ticket
 	denied  map[uint32]bool
-	asking  bool
+	pending map[uint32]bool // workers named in calls under way
+	asking  int             // calls under way
 	retryAt time.Duration
 }
 
@@ -73,7 +85,7 @@
 func (s *Scheduler) adviceFor(ref job.StepRef) *advice {
 	a := s.advice[ref]
 	if a == nil {
-		a = &advice{tickets: map[uint32]ticket{}, denied: map[uint32]bool{}}
+		a = &advice{tickets: map[uint32]ticket{}, denied: map[uint32]bool{}, pending: map[uint32]bool{}}
 		s.advice[ref] = a
 	}
 	return a
@@ -94,33 +106,76 @@
 	}
 }
 
-// requestAdvice queues a call about a step that lacks valid tickets. Granted workers are
+// requestAdvice queues calls about a step that lacks valid tickets. Granted workers are
 // asked about again once they have the room that is needed; before that, workers about
 // which nothing is known.
 func (s *Scheduler) requestAdvice(r *readyStep, workers []*worker) {
 	a := s.adviceFor(r.ref)
-	if a.asking || s.now < a.retryAt {
+	if a.asking > 0 || s.now < a.retryAt {
 		return
 	}
-	list := s.renewable(r, a, workers)
-	if len(list) == 0 {
-		list = s.unknown(r, a, workers)
-	}
-	if len(list) == 0 {
+	if list := s.renewable(r, a, workers); len(list) > 0 {
+		s.ask(r, a, s.enough(r, list, 1))
 		return
 	}
-	slices.SortStableFunc(list, func(x, y *worker) int {
-		return cmp.Compare(y.free().MilliCPU, x.free().MilliCPU)
+	s.ask(r, a, s.enough(r, s.unknown(r, a, workers), s.grantRate(r.job.Queue.Name)))
+}
+
+// enough returns the workers with the most room that can be expected to take the step's
+// waiting tasks, given the rate at which they are granted.
+func (s *Scheduler) enough(r *readyStep, list []*worker, rate float64) []*worker {
+	type room struct {
+		w     *worker
+		slots int
+	}
+	rooms := make([]room, len(list))
+	for i, w := range list {
+		rooms[i] = room{w, s.slots(r, w, s.yielding(r, w))}
+	}
+	slices.SortStableFunc(rooms, func(x, y room) int {
+		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU))
 	})
-	list = list[:min(len(list), askAtMost)]
+	expected, need := 0.0, askSurplus*float64(len(r.waiting))
+	var out []*worker
+	for _, room := range rooms {
+		if len(out) >= askAtLeast && expected >= need || len(out) == askAtMost*asksAtOnce {
+			break
+		}
+		expected += rate * float64(room.slots)
+		out = append(out, room.w)
+	}
+	return out
+}
+
+// ask queues calls about the workers, in equal parts.
+func (s *Scheduler) ask(r *readyStep, a *advice, list []*worker) {
 	terms := r.job.Queue.Advisor
-	q := &ask{ref: r.ref, priority: r.job.Queue.Priority, due: r.due,
-		length: millis(terms.DecisionMillis + terms.PerWorkerMillis*float64(len(list)))}
-	for _, w := range list {
-		q.workers = append(q.workers, *w.life)
+	for calls := (len(list) + askAtMost - 1) / askAtMost; calls > 0; calls-- {
+		part := list[:(len(list)+calls-1)/calls]
+		list = list[len(part):]
+		q := &ask{ref: r.ref, priority: r.job.Queue.Priority, due: r.due,
+			length: millis(terms.DecisionMillis + terms.PerWorkerMillis*float64(len(part)))}
+		for _, w := range part {
+			q.workers = append(q.workers, *w.life)
+			a.pending[w.life.Number] = true
+		}
+		a.asking++
+		s.asks = append(s.asks, q)
+	}
+}
+
+func (s *Scheduler) grantRate(queue string) float64 {
+	if rate, ok := s.grants[queue]; ok {
+		return rate
+	}
+	return firstGrantRate
+}
+
+// noteGrants takes the rate of one answer into the mean of a queue.
+func (s *Scheduler) noteGrants(queue string, granted, asked int) {
+	if asked > 0 {
+		s.grants[queue] = (1-grantWeight)*s.grantRate(queue) + grantWeight*float64(granted)/float64(asked)
 	}
-	a.asking = true
-	s.asks = append(s.asks, q)
 }
 
 // renewable returns the granted workers with room and no valid ticket, if all granted ones
@@ -150,7 +205,7 @@
 	var out []*worker
 	for _, w := range workers {
 		_, granted := a.tickets[w.life.Number]
-		if granted || a.denied[w.life.Number] || !w.life.HasLabel(r.step.Label) {
+		if granted || a.denied[w.life.Number] || a.pending[w.life.Number] || !w.life.HasLabel(r.step.Label) {
 			continue
 		}
 		if r.step.Gang || s.slots(r, w, s.yielding(r, w)) > 0 {
@@ -216,7 +271,10 @@
 	if a == nil || !s.leading {
 		return
 	}
-	a.asking = false
+	a.asking--
+	for _, w := range workers {
+		delete(a.pending, w.Number)
+	}
 	s.dirty = true
 	for _, r := range s.ready[ref.Job] {
 		r.retryAt = 0
@@ -226,6 +284,9 @@
 		a.retryAt = s.now + askPause
 		return
 	}
+	if j := s.state.Job(ref.Job); j != nil && len(a.tickets)+len(a.denied) == 0 {
+		s.noteGrants(j.Queue.Name, len(granted), len(workers))
+	}
 	for _, w := range workers {
 		a.denied[w.Number] = true
 	}
--- a/dispatch/booking.go
+++ b/dispatch/booking.go
@@ -17,6 +17,9 @@
 	// preemptFrom is the least estimated length of the tasks for which others are stopped.
 	// For shorter ones the room that ends of themselves bring is there as soon.
 	preemptFrom = 2 * time.Second
+	// preemptYoung is the age up to which a run without checkpoints is stopped for others;
+	// an older one would lose too much.
+	preemptYoung = 500 * time.Millisecond
 	// patientBookings bounds the steps that wait in this way, as room stands idle for them.
 	patientBookings = 2
 )
@@ -194,6 +197,9 @@
 	if c.step == nil || c.step.Gang || c.step.Lasting || c.step.Fills || c.phase != claimRunning {
 		return false
 	}
+	if !c.step.Checkpoints && s.now-c.startedAt > preemptYoung {
+		return false
+	}
 	j := s.state.Job(c.key.task.Job)
 	return j != nil && j.Queue.Priority > r.job.Queue.Priority
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -20,6 +20,14 @@
 // comes up with every end, so an earlier try is mostly in vain.
 const placeRetry = 25 * time.Millisecond
 
+const (
+	// lateFactor times its objective is how long a job is worth something to its caller.
+	lateFactor = 3
+	// surelyNeeded is the part of its estimated time that a job needs at the least;
+	// estimates are off by half.
+	surelyNeeded = 0.5
+)
+
 // readyStep is a step with tasks that may start now.
 type readyStep struct {
 	job     *job.Job
@@ -27,7 +35,10 @@
 	step    *job.Step
 	state   *job.StepState // nil before the first claim
 	waiting []uint16
-	due     int64 // Unix milliseconds by which its job should be done
+	// submitted and due are when the job was handed in or due to start, and when it should be
+	// done, in Unix milliseconds.
+	submitted, due int64
+	remaining      int64 // estimated milliseconds of the longest chain from this step on
 	// retryAt is when the step is tried again after it found no room.
 	retryAt time.Duration
 }
@@ -79,18 +90,24 @@
 		out = append(out, steps...)
 	}
 	slices.SortFunc(out, func(a, b *readyStep) int {
-		return cmp.Or(cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), s.lateRank(a)-s.lateRank(b), cmp.Compare(a.due, b.due),
+		return cmp.Or(s.lateRank(a)-s.lateRank(b), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), cmp.Compare(a.due, b.due),
 			cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Step, b.ref.Step))
 	})
 	return out
 }
 
-// lateRank puts jobs that can still be in time before those that cannot.
+// lateRank puts jobs that can still be in time before those that are late, whatever their
+// priority, and those before jobs that are so late that they are worth nothing to their
+// callers any more.
 func (s *Scheduler) lateRank(r *readyStep) int {
-	if s.wall > r.due {
+	objective := r.due - r.submitted
+	switch left := r.due - s.wall; {
+	case left >= int64(surelyNeeded*float64(r.remaining)):
+		return 0
+	case left >= -(lateFactor-1)*objective:
 		return 1
 	}
-	return 0
+	return 2
 }
 
 // refresh makes the list of a job's ready steps anew.
@@ -163,7 +180,9 @@
 		if len(r.waiting) == 0 || step.Gang && len(r.waiting) < step.Count {
 			continue
 		}
-		r.due = max(j.AcceptedMillis, j.DueMillis(k)) + j.Queue.TargetMillis + int64(j.Queue.SlackFactor*float64(chainMillis(&j.Spec)))
+		r.submitted = max(j.AcceptedMillis, j.DueMillis(k))
+		r.due = r.submitted + j.Queue.TargetMillis + int64(j.Queue.SlackFactor*float64(chainMillis(&j.Spec, 0)))
+		r.remaining = chainMillis(&j.Spec, i)
 		out = append(out, r)
 	}
 	return out
@@ -181,16 +200,17 @@
 	return out
 }
 
-// chainMillis is the estimated length of a job's longest chain of steps.
-func chainMillis(spec *job.Spec) int64 {
+// chainMillis is the estimated length of a job's longest chain of steps from step from on;
+// 0 means the whole job.
+func chainMillis(spec *job.Spec, from int) int64 {
 	ends := make([]int64, len(spec.Steps))
 	longest := int64(0)
-	for i, step := range spec.Steps {
+	for i := from; i < len(spec.Steps); i++ {
 		begin := int64(0)
-		for _, a := range step.After {
+		for _, a := range spec.Steps[i].After {
 			begin = max(begin, ends[a])
 		}
-		ends[i] = begin + step.EstimateMillis
+		ends[i] = begin + spec.Steps[i].EstimateMillis
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -229,11 +249,13 @@
 
 // expectsRoom reports whether the idle processors are more than what the steps before this
 // one in the pass can use, and counts this one in. A gang is asked about in any case, since
-// what is granted does not change.
+// what is granted does not change; what it needs counts only while room is booked for it.
 func (s *Scheduler) expectsRoom(r *readyStep) bool {
 	pool := s.poolOf(r.job)
 	left := s.idle[pool]
-	s.idle[pool] -= r.step.Reserved().MilliCPU * int64(len(r.waiting))
+	if !r.step.Gang || s.bookings[r.ref] != nil {
+		s.idle[pool] -= r.step.Reserved().MilliCPU * int64(len(r.waiting))
+	}
 	return r.step.Gang || left >= r.step.Reserved().MilliCPU
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,7 @@
 	avoid    map[job.TaskRef]uint32 // the worker on which a task failed last
 	advisors map[string]*advisor
 	asks     []*ask
+	grants   map[string]float64 // share of workers that the advisor grants, by queue
 
 	// ready holds the steps with waiting tasks of each job; touched are the jobs for which
 	// it has to be made anew.
@@ -75,6 +76,7 @@
 	s.workers, s.byName = map[uint32]*worker{}, map[string]uint32{}
 	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
+	s.grants = map[string]float64{}
 	s.bookings = map[job.StepRef]*booking{}
 	s.asks, s.actions, s.ops = nil, nil, nil
 	s.ready, s.touched, s.wake = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
