dispatch, platform: remove fields that decide nothing; raft: a test that does not depend on luck

TestElectionAfterAllVotersRestart failed once on this commit: it asked for a leader within two timeouts, and split votes may take longer.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -58,25 +58,6 @@
 	// answer to a start does not tell which life gave it.
 	listed    bool
 	startedAt time.Duration
-	progress  progress
-}
-
-// progress is what the worker's lists tell of a run.
-type progress struct {
-	percent   int
-	changedAt time.Duration
-	firstAt   time.Duration
-	first     int
-}
-
-func (c *claim) noteProgress(now time.Duration, run Running) {
-	p := &c.progress
-	if p.firstAt == 0 {
-		p.firstAt, p.first, p.percent, p.changedAt = now, run.Percent, run.Percent, now
-	}
-	if run.Percent != p.percent {
-		p.percent, p.changedAt = run.Percent, now
-	}
 }
 
 // knownBefore reports whether the worker confirmed the run or its stop before the time at
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -120,7 +120,7 @@
 }
 
 func (c *cluster) settings() Settings {
-	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, KeepEnded: time.Hour, FarFactor: 3}
+	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, KeepEnded: time.Hour}
 }
 
 // lead starts a new leader.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -124,7 +124,9 @@
 			continue
 		}
 		if at := j.DueMillis(n); at > s.wall {
-			s.wake = append(s.wake, wakeUp{id, at})
+			if due := (wakeUp{id, at}); !slices.Contains(s.wake, due) {
+				s.wake = append(s.wake, due)
+			}
 			break // later occurrences are due later
 		}
 		steps = s.readyOf(j, n, steps)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -205,6 +205,11 @@
 	if len(ids) > 0 {
 		s.propose(job.Op{Forget: ids})
 	}
+	for ref := range s.avoid {
+		if j := s.state.Job(ref.Job); j == nil || j.Outcome != job.Open {
+			delete(s.avoid, ref)
+		}
+	}
 }
 
 // Applied tells that an operation was applied to the state.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -12,14 +12,8 @@
 	MaxLease time.Duration
 	// StopTimeout is how long a worker takes to stop a task.
 	StopTimeout time.Duration
-	// CheckpointEvery is the work between two checkpoints, RestoreTime what a resume costs.
-	CheckpointEvery, RestoreTime time.Duration
-	// EarlyBy is how long before its due time an occurrence may start.
-	EarlyBy time.Duration
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
-	// FarFactor is how much longer a task takes off its data's rack.
-	FarFactor float64
 }
 
 // Action is what the embedder carries out.
@@ -81,12 +75,9 @@
 
 // Running is a task that a worker lists as running.
 type Running struct {
-	Task    job.TaskRef
-	Run     uint32
-	Saved   string
-	Percent int // of its work; for a lasting task 100 when it is at work
-	// Load is the tail in milliseconds of a lasting task, else the processors in use.
-	Load float64
+	Task  job.TaskRef
+	Run   uint32
+	Saved string // newest checkpoint, empty if there is none
 }
 
 // Ended is a run that a worker lists as ended.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -345,7 +345,6 @@
 	if run.Saved != "" {
 		c.saved = run.Saved
 	}
-	c.noteProgress(s.now, run)
 }
 
 func (s *Scheduler) takeEnded(w *worker, e Ended) {
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -135,7 +135,7 @@
 		answered = true
 		report := Report{BornMillis: w.life.BornMillis, ClockMillis: w.clock(), Ended: append([]Ended(nil), w.ended...)}
 		for key := range w.runs {
-			report.Running = append(report.Running, Running{Task: key.task, Run: key.run, Percent: 1})
+			report.Running = append(report.Running, Running{Task: key.task, Run: key.run})
 		}
 		respond(Accepted, report)
 	}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -27,23 +27,6 @@
 	}
 }
 
-// A restart of all voters ends any leadership, so nobody may wait out the timeout that
-// guards one after the wait that each restart demands: one timeout for the wait and at most
-// one for the draw of the first voter to stand.
-func TestElectionAfterAllVotersRestart(t *testing.T) {
-	for seed := range uint64(20) {
-		c := newCluster(t, seed, 5)
-		c.waitLeader()
-		for _, h := range c.hosts {
-			c.crash(h)
-			c.start(h)
-		}
-		timeout := c.hosts[c.ids[0]].node.cfg.ElectionTimeout
-		c.run(2 * timeout)
-		quicktest.Assert(t, c.leader(), quicktest.Not(quicktest.IsNil), quicktest.Commentf("seed %d", seed))
-	}
-}
-
 // others returns the running hosts but h, and the first of them for convenience.
 func (c *cluster) others(h *host) (first *host, all []*host) {
 	for _, id := range c.ids {
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -180,6 +180,19 @@
 	quicktest.Assert(t, step(n, n.now, appended), quicktest.HasLen, 1)
 }
 
+// A restart of all voters ends any leadership. A voter that waits out the wait after its
+// restart and then another full election timeout prolongs the gap for nothing.
+func TestVoterThatHeardNoLeaderStandsSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		n := New(Config{ID: "v1", Group: "g", Seed: seed}, restartedDisk(), 10*time.Second)
+		flush(n)
+		step(n, n.now, Message{Kind: MsgHelloResponse, From: "v2", Hint: 5})
+		step(n, n.now, Message{Kind: MsgHelloResponse, From: "v3", Hint: 5})
+		quicktest.Assert(t, n.role, quicktest.Equals, RoleFollower)
+		quicktest.Assert(t, n.deadline < n.now+n.cfg.ElectionTimeout, quicktest.IsTrue)
+	}
+}
+
 // A learner that was promoted after the old copy may be the only one that knows of a
 // loss, but as a learner it counts for no quorum.
 func TestLearnerIsAskedButDoesNotCount(t *testing.T) {
