--- a/cell/host.go
+++ b/cell/host.go
@@ -52,8 +52,12 @@
 		h.n.log.Panic("committed entry cannot be decoded", zap.Error(err), zap.Uint64("index", e.Index))
 	}
 	for _, op := range ops {
+		wasOpen := h.endsOpenJob(op)
 		h.state.Apply(op)
 		h.logApplied(op)
+		if wasOpen {
+			h.logJobEnd(op.End)
+		}
 		h.sched.Applied(now, op)
 	}
 	if p, ok := h.waiting[e.Index]; ok {
@@ -80,6 +84,25 @@
 	}
 }
 
+// endsOpenJob reports whether an operation ends a run of a job that has not ended.
+func (h *host) endsOpenJob(op job.Op) bool {
+	if op.End == nil || h.epoch == 0 {
+		return false
+	}
+	j := h.state.Job(op.End.Task.Job)
+	return j != nil && j.Outcome == job.Open
+}
+
+// logJobEnd notes the end of a job that the end of a run has brought.
+func (h *host) logJobEnd(end *job.End) {
+	j := h.state.Job(end.Task.Job)
+	if j == nil || j.Outcome == job.Open {
+		return
+	}
+	h.n.log.Info("job ended", zap.Stringer("job", j.ID), zap.Stringer("outcome", j.Outcome), zap.Stringer("task", end.Task),
+		zap.Uint32("run", end.Run), zap.Int64("took_ms", j.EndedMillis-j.AcceptedMillis))
+}
+
 // Restore implements replica.StateMachine.
 func (h *host) Restore(data []byte) error {
 	if err := h.state.Restore(data); err != nil {
--- a/job/record.go
+++ b/job/record.go
@@ -74,6 +74,15 @@
 	Canceled
 )
 
+// String returns the outcome as it stands in logs.
+func (o Outcome) String() string {
+	names := [...]string{"open", "done", "failed", "canceled"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
 // Job is the replicated record of an accepted job.
 type Job struct {
 	ID      ID      `cbor:"1,keyasint"`
