--- a/cell/node.go
+++ b/cell/node.go
@@ -35,7 +35,7 @@
 	loop     *replica.Loop
 	peers    *peers
 	finder   *finder
-	host     *host // nil on an entry VM; owned by the loop
+	host     *host // nil on an entry VM; set before the loop runs, and owned by it
 }
 
 // New returns a node; Run starts it.
@@ -131,7 +131,7 @@
 
 // Shutdown hands the leadership over, so that a planned stop needs no election.
 func (n *Node) Shutdown(ctx context.Context) {
-	if n.host == nil {
+	if !n.settings.keeper() {
 		return
 	}
 	if err := n.loop.Call(ctx, func() { n.host.handOver(n.loop.Now()) }); err != nil {
@@ -170,7 +170,7 @@
 
 // callLocal runs a call on the loop and waits for its reply.
 func (n *Node) callLocal(ctx context.Context, c Call) Reply {
-	if n.host == nil {
+	if !n.settings.keeper() {
 		return Reply{Code: NotLeader}
 	}
 	ch := make(chan Reply, 1)
@@ -200,7 +200,7 @@
 
 // Join notes another VM and tells it of the leader.
 func (s *service) Join(args JoinArgs, reply *JoinReply) error {
-	if s.n.host == nil {
+	if !s.n.settings.keeper() {
 		leader, keepers := s.n.finder.known()
 		*reply = JoinReply{leader, keepers}
 		return nil
