control: a refusal for lack of a route does not say that the work did not run

Cause: after a route was withdrawn, a key that had run got 404 with not_run true, though only the key's owner may say so (design 3.5, api.Error). TestResolve and the command's test asked for the untrue word; they now ask that it is not said.

--- a/control/resolve.go
+++ b/control/resolve.go
@@ -72,7 +72,9 @@
 func (r *Resolver) noRoute(kind string) *api.Error {
 	shown := truncate(kind, maxNameBytes)
 	err := api.Errorf(api.CodeNoRoute, "no route serves kind %q; \"oleanderchute routes\" lists those that exist", shown)
-	err.Field, err.NotRun = "kind", true
+	// NotRun stays false: the key may have run while a route served the kind, and only its
+	// owner knows.
+	err.Field = "kind"
 	if near := r.NearestRoute(kind); near != "" {
 		err.Nearest = near
 		err.Message = fmt.Sprintf("no route serves kind %q; send kind %q, or an operator adds \"aliases: [%s]\" to that route", shown, near, shown)
