--- /dev/null
+++ b/internal/asynclog/asynclog_test.go
@@ -0,0 +1,55 @@
+package asynclog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowOut is a pipe whose reader stands still until it is released.
+type slowOut struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+	longest int
+}
+
+func (o *slowOut) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.longest = max(o.longest, len(p))
+	return o.buf.Write(p)
+}
+
+// Guards against a process that stands still because nobody reads its log, lines that are
+// dropped without a word, and writes that a pipe takes in parts.
+func TestLogNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	c := qt.New(t)
+	out := &slowOut{release: make(chan struct{})}
+	w := New(out)
+	line := []byte(strings.Repeat("x", 99) + "\n")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * queueLines {
+			n, err := w.Write(line)
+			c.Check(n, qt.Equals, len(line))
+			c.Check(err, qt.IsNil)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		c.Fatal("writing lines blocks while nobody reads")
+	}
+	close(out.release)
+	w.Close()
+	c.Assert(out.longest <= writeBytes, qt.IsTrue)
+	c.Assert(out.buf.String(), qt.Contains, "log lines dropped")
+	c.Assert(strings.Count(out.buf.String(), "x\n") > 0, qt.IsTrue)
+}
