partition: a new owner syncs with the known workers at once

Cause of TestGracefulShutdown: a new owner heard of a worker only by its next announcement, which comes 1 to 2 s after the last sync of the former owner, and the task lease is 2 s. The traced run lost a 10 s task that way: ownership moved in 12 ms, no announcement failed. They stay hints: only a sync proves which process lives.

--- a/partition/apply.go
+++ b/partition/apply.go
@@ -47,9 +47,19 @@
 		p.applyCancel(epoch, c.Cancel)
 	case c.Expire != nil:
 		p.applyExpire(c.Expire)
+	case c.Worker != nil:
+		p.applyWorker(c.Worker)
 	}
 }
 
+func (p *Partition) applyWorker(c *workerCommand) {
+	if c.Gone {
+		delete(p.workers, c.Announcement.Worker)
+		return
+	}
+	p.workers[c.Announcement.Worker] = c.Announcement
+}
+
 func (p *Partition) applyAccept(epoch uint64, c *acceptCommand) {
 	if p.records[c.Spec.Key] != nil {
 		return
--- a/partition/command.go
+++ b/partition/command.go
@@ -21,6 +21,7 @@
 	End    *endCommand    `cbor:"3,keyasint,omitempty"`
 	Cancel *cancelCommand `cbor:"4,keyasint,omitempty"`
 	Expire *expireCommand `cbor:"5,keyasint,omitempty"`
+	Worker *workerCommand `cbor:"6,keyasint,omitempty"`
 }
 
 // acceptCommand records a request.
@@ -73,6 +74,13 @@
 	Unknown bool `cbor:"2,keyasint,omitempty"`
 }
 
+// workerCommand keeps a worker's announcement for the next owner, or drops it.
+type workerCommand struct {
+	Announcement api.Announcement `cbor:"1,keyasint"`
+	// Gone: the worker has been lost for long; only its name is set.
+	Gone bool `cbor:"2,keyasint,omitempty"`
+}
+
 // encode returns the CBOR form. Encoding these types cannot fail.
 func encode(v any) []byte {
 	data, err := cbor.Marshal(v)
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -108,6 +108,7 @@
 			o.inherit(now, r, e.NowUnixMillis)
 		}
 	}
+	o.inheritWorkers(now)
 	o.after(o.doubtUntil, o.endDoubt)
 	o.log.fence = true
 	return o
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -22,6 +22,9 @@
 	ordered   []*record
 	dropped   int
 	nextIndex uint64
+	// workers holds the newest announcement of each worker, so that a new owner reaches
+	// them before their task leases end.
+	workers map[string]api.Announcement
 	// epoch is the highest epoch of an applied batch. Batches of lower epochs have no
 	// effect, since their owner's knowledge is outdated.
 	epoch uint64
@@ -37,6 +40,7 @@
 		cfg:          cfg.withDefaults(),
 		newScheduler: newScheduler,
 		records:      map[api.RequestKey]*record{},
+		workers:      map[string]api.Announcement{},
 	}
 }
 
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -108,13 +108,18 @@
 
 func once(s *Submit) { s.Request.NonIdempotent = true }
 
-// worker announces a worker and answers its first two syncs.
+// worker announces a worker and answers its first sync. The record of the announcement is
+// committed unless other commands wait for a commit.
 func (b *bench) worker(name, incarnation string) {
+	idle := len(b.log) == 0
 	b.step(Announced{api.Announcement{
 		Worker: name, Incarnation: incarnation, URL: "http://" + name, Pool: "blue", Slots: 8,
 		Capacity: api.Resources{MilliCPU: 8000},
 	}})
 	b.sync(name, incarnation, nil)
+	if idle {
+		b.commit()
+	}
 }
 
 func (b *bench) sync(name, incarnation string, change func(*api.SyncResponse)) {
--- a/partition/snapshot.go
+++ b/partition/snapshot.go
@@ -1,6 +1,9 @@
 package partition
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -18,6 +21,8 @@
 	NextIndex uint64    `cbor:"2,keyasint"`
 	Records   []*record `cbor:"3,keyasint"`
 	Epoch     uint64    `cbor:"4,keyasint"`
+	// Workers are the announcements by name, in order.
+	Workers []api.Announcement `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot returns the records in CBOR.
@@ -28,7 +33,17 @@
 			records = append(records, r)
 		}
 	}
-	return encode(snapshot{Version: snapshotVersion, NextIndex: p.nextIndex, Records: records, Epoch: p.epoch})
+	return encode(snapshot{Version: snapshotVersion, NextIndex: p.nextIndex, Records: records, Epoch: p.epoch, Workers: p.announcements()})
+}
+
+// announcements lists the announcements of the workers by name.
+func (p *Partition) announcements() []api.Announcement {
+	names := slices.Sorted(maps.Keys(p.workers))
+	out := make([]api.Announcement, 0, len(names))
+	for _, name := range names {
+		out = append(out, p.workers[name])
+	}
+	return out
 }
 
 // snapshotMode has no bound of its own on the number of records: a snapshot is checked by
@@ -54,5 +69,9 @@
 	for _, r := range s.Records {
 		p.records[r.Spec.Key] = r
 	}
+	p.workers = make(map[string]api.Announcement, len(s.Workers))
+	for _, a := range s.Workers {
+		p.workers[a.Worker] = a
+	}
 	return nil
 }
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -15,6 +15,8 @@
 	// counts once a sync is answered by that incarnation; its URL is tried when syncs fail.
 	ann       api.Announcement
 	candidate api.Announcement
+	// recorded is the announcement that was last proposed for the next owner.
+	recorded  api.Announcement
 	announced time.Duration // when the last announcement came
 	// incarnation is the one that answered the last sync; superseded lists former ones.
 	incarnation string
@@ -85,6 +87,7 @@
 		return
 	}
 	w.ann = *a
+	o.recordWorker(w)
 	if w.synced {
 		w.leaving = w.leaving || a.Leaving
 		o.enterScheduler(now, w)
@@ -92,6 +95,24 @@
 	o.startSync(now, w)
 }
 
+// recordWorker keeps the announcement in use for the next owner.
+func (o *owner) recordWorker(w *workerState) {
+	if w.ann != w.recorded {
+		w.recorded = w.ann
+		o.propose(command{Worker: &workerCommand{Announcement: w.ann}})
+	}
+}
+
+// inheritWorkers syncs with the workers that announced themselves to former owners. They
+// announce themselves again only after a second without a sync, and a failed call later
+// their task lease of 2 s has ended.
+func (o *owner) inheritWorkers(now time.Duration) {
+	for _, a := range o.p.announcements() {
+		o.worker(a.Worker).recorded = a
+		o.announced(now, &a)
+	}
+}
+
 // servesElsewhere reports whether the tables give the pool to another partition.
 func (o *owner) servesElsewhere(pool string) bool {
 	for i := range o.p.tables.Pools {
@@ -169,6 +190,7 @@
 	w.leaving, w.capacity = false, api.Resources{}
 	if w.candidate.Incarnation == incarnation {
 		w.ann = w.candidate
+		o.recordWorker(w)
 	}
 }
 
@@ -212,6 +234,9 @@
 			return false
 		}
 		delete(o.workers, w.name)
+		if _, recorded := o.p.workers[w.name]; recorded {
+			o.propose(command{Worker: &workerCommand{Announcement: api.Announcement{Worker: w.name}, Gone: true}})
+		}
 		return true
 	}
 	o.workerOrder = slices.DeleteFunc(o.workerOrder, gone)
