dispatch: a suspected worker gets one run at a time within a pass too

Cause: the list of usable workers is made once a pass, so a worker that had no run at its start could get several, each of which may cost a job an attempt. Change: the number of further runs that a worker may take bounds each assignment. Test: TestDistrustedWorkerGetsOneRunAtATime, 3 runs before, 1 after.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/job"
@@ -27,10 +28,16 @@
 	until    time.Duration // no new work before
 }
 
-// usable reports whether new work may go to the worker. One run at a time goes to a worker
-// that was suspected, until one is done.
-func (h *health) usable(now time.Duration, running int) bool {
-	return now >= h.until && (h.distrust == 0 || running == 0)
+// usable reports whether new work may go to the worker.
+func (h *health) usable(now time.Duration) bool { return now >= h.until }
+
+// mayTake returns how many further runs may go to the worker beside those it has. One run
+// at a time goes to a worker that was suspected, until one is done.
+func (w *worker) mayTake() int {
+	if w.health.distrust == 0 {
+		return math.MaxInt
+	}
+	return max(1-len(w.claims), 0)
 }
 
 func (h *health) noteUnhealthy(now time.Duration) { h.until = max(h.until, now+unhealthyPause) }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -293,8 +293,8 @@
 // slots counts the tasks of a step that fit into room on a worker.
 func (s *Scheduler) slots(r *readyStep, w *worker, room job.Resources) int {
 	need := r.step.Reserved()
-	n := 0
-	for k := s.onWorker(r, w); room.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < len(r.waiting); k++ {
+	n, most := 0, min(len(r.waiting), w.mayTake())
+	for k := s.onWorker(r, w); room.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < most; k++ {
 		room = room.Minus(need)
 		n++
 	}
@@ -347,7 +347,8 @@
 type tentative struct {
 	w     *worker
 	free  job.Resources
-	count int
+	count int // tasks of the step on the worker
+	left  int // further runs that it may take
 	fills int64
 }
 
@@ -356,7 +357,7 @@
 	need := r.step.Reserved()
 	for _, w := range workers {
 		if free := w.available(r.ref); free.Fits(need) {
-			rooms = append(rooms, &tentative{w, free, s.onWorker(r, w), w.fillCPU})
+			rooms = append(rooms, &tentative{w, free, s.onWorker(r, w), w.mayTake(), w.fillCPU})
 		}
 	}
 	var placed []*worker
@@ -367,6 +368,7 @@
 		}
 		best.free = best.free.Minus(need)
 		best.count++
+		best.left--
 		if r.step.Fills {
 			best.fills += r.step.Need.MilliCPU
 		}
@@ -382,7 +384,7 @@
 	var best *tentative
 	var bestScore [3]int64
 	for _, room := range rooms {
-		if !room.free.Fits(need) || r.step.MaxPerWorker > 0 && room.count >= r.step.MaxPerWorker {
+		if room.left <= 0 || !room.free.Fits(need) || r.step.MaxPerWorker > 0 && room.count >= r.step.MaxPerWorker {
 			continue
 		}
 		score := [3]int64{0, 0, room.free.MilliCPU}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -65,7 +65,7 @@
 
 // usable reports whether new work may go to the worker.
 func (s *Scheduler) usable(w *worker) bool {
-	return !w.leaving && !w.over && w.reported && w.failures == 0 && s.now-w.okAt < freshFor && w.health.usable(s.now, len(w.claims))
+	return !w.leaving && !w.over && w.reported && w.failures == 0 && s.now-w.okAt < freshFor && w.health.usable(s.now) && w.mayTake() > 0
 }
 
 // Announcement is what a worker says about itself.
