--- a/cell/serve.go
+++ b/cell/serve.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if c.Kind == CountPending || c.Kind == JobState && c.Path == q.Prefix {
-		done(Reply{Code: OK, Pending: h.state.PendingJobs(q.Name)})
+		done(Reply{Code: OK, Pending: h.sched.PendingJobs(q.Name)})
 		return
 	}
 	id, err := job.ParseID(strings.TrimPrefix(c.Path, q.Prefix))
@@ -126,10 +126,10 @@
 		done(Reply{Code: NoJob})
 		return
 	}
-	done(Reply{Code: OK, Status: statusOf(j)})
+	done(Reply{Code: OK, Status: statusOf(j, h.sched.HasBegun(j))})
 }
 
-func statusOf(j *job.Job) JobStatus {
+func statusOf(j *job.Job, begun bool) JobStatus {
 	switch {
 	case j.Outcome == job.AllDone:
 		return DoneJob
@@ -137,7 +137,7 @@
 		return FailedJob
 	case j.Outcome == job.Canceled:
 		return CanceledJob
-	case j.Started:
+	case begun:
 		return Running
 	}
 	return Queued
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -9,15 +9,26 @@
 )
 
 const (
-	// askAtMost and askAtLeast bound the number of workers named in one call: the advisor
-	// takes 100, and its time rises with each.
-	askAtMost  = 30
+	// askAtMost bounds the workers named in one call; the advisor takes no more.
+	askAtMost = 100
+	// askAtLeast is how many workers are asked about at the least: a call has a fixed part.
 	askAtLeast = 20
-	// asksAtOnce bounds the calls under way about one step. Tickets of calls made one after
-	// the other would not be valid together.
-	asksAtOnce = 4
+	// quickPart is the size of the calls into which a question is split while most members
+	// are free: the answer comes sooner, but the calls take longer together.
+	quickPart = 30
+	// asksInTotal bounds the workers asked about at once for one step.
+	asksInTotal = 100
+	// queuePart is the part of the members for long calls that one queue may keep busy while
+	// calls of others wait.
+	queuePart = 0.85
 	// askSurplus is by how much the room that is asked for exceeds what the step needs.
 	askSurplus = 1.3
+	// gangReach is how many times over a gang should fit on the workers granted to it when
+	// all else there has ended. With fewer it waits long for room, more cost calls.
+	gangReach = 4
+	// renewSurplus is by how much the room on workers whose tickets a gang renews exceeds what
+	// it needs: some of it is gone when the answer comes.
+	renewSurplus = 1.5
 	// firstGrantRate is assumed of a queue of which nothing is known, grantWeight is the
 	// weight of a new answer in the mean.
 	firstGrantRate = 0.4
@@ -26,7 +37,7 @@
 	ticketMargin = 150 * time.Millisecond
 	// longAsk is the length from which a call counts as long; longAsksKeepFree members are
 	// kept free of such calls, so that short ones do not wait behind them.
-	longAsk          = 200 * time.Millisecond
+	longAsk          = 50 * time.Millisecond
 	longAsksKeepFree = 3
 	// askGrace is added to the expected length of a call.
 	askGrace = 400 * time.Millisecond
@@ -44,6 +55,7 @@
 // change; only tickets expire.
 type advice struct {
 	tickets map[uint32]ticket
+	granted []uint32 // the workers of tickets, in the order of the answers
 	denied  map[uint32]bool
 	pending map[uint32]bool // workers named in calls under way
 	asking  int             // calls under way
@@ -53,12 +65,14 @@
 // advisor is a member through which the advisor can be asked, one call at a time.
 type advisor struct {
 	busy    bool
+	queue   string // of the call under way
 	retryAt time.Duration
 }
 
 // ask is a call that waits for a free member.
 type ask struct {
 	ref      job.StepRef
+	queue    string
 	workers  []job.Worker
 	length   time.Duration
 	priority int
@@ -100,25 +114,71 @@
 	s.asks = slices.DeleteFunc(s.asks, func(q *ask) bool { return q.ref.Job == id })
 }
 
+// dropAsks drops the calls about a step that still wait, since it has all its tasks placed.
+func (s *Scheduler) dropAsks(ref job.StepRef) {
+	s.asks = slices.DeleteFunc(s.asks, func(q *ask) bool {
+		if q.ref != ref {
+			return false
+		}
+		a := s.adviceFor(ref)
+		a.asking--
+		for _, w := range q.workers {
+			delete(a.pending, w.Number)
+		}
+		return true
+	})
+}
+
 func (s *Scheduler) dropTicket(c *claim) {
+	number := c.worker.life.Number
 	if a := s.advice[c.key.task.StepRef]; a != nil {
-		delete(a.tickets, c.worker.life.Number)
+		delete(a.tickets, number)
+		a.granted = slices.DeleteFunc(a.granted, func(n uint32) bool { return n == number })
 	}
 }
 
 // requestAdvice queues calls about a step that lacks valid tickets. Granted workers are
 // asked about again once they have the room that is needed; before that, workers about
 // which nothing is known.
-func (s *Scheduler) requestAdvice(r *readyStep, workers []*worker) {
+func (s *Scheduler) requestAdvice(r *readyStep) {
 	a := s.adviceFor(r.ref)
 	if a.asking > 0 || s.now < a.retryAt {
 		return
 	}
-	if list := s.renewable(r, a, workers); len(list) > 0 {
-		s.ask(r, a, s.enough(r, list, 1))
-		return
+	var list []*worker
+	if r.step.Gang {
+		if b := s.bookings[r.ref]; b != nil && !b.patient {
+			return // it waits for the room
+		}
+		list = s.renewableForGang(r, a)
+	} else {
+		list = s.enough(r, s.renewable(r, a), 1)
+	}
+	if len(list) == 0 && !(r.step.Gang && s.reaches(r)) {
+		list = s.enough(r, s.unknown(r, a), s.grantRate(r.job.Queue.Name))
+	}
+	s.ask(r, a, list)
+}
+
+// expiring returns the workers whose tickets do not hold at a time.
+func (a *advice) expiring(workers []*worker, at time.Duration) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		if _, valid := a.ticketFor(w.life.Number, at); !valid {
+			out = append(out, w)
+		}
 	}
-	s.ask(r, a, s.enough(r, s.unknown(r, a, workers), s.grantRate(r.job.Queue.Name)))
+	return out[:min(len(out), askAtMost)]
+}
+
+// reaches reports whether the workers granted to a gang suffice: with all else there ended, it
+// would fit on them several times over.
+func (s *Scheduler) reaches(r *readyStep) bool {
+	slots := 0
+	for _, w := range s.granted(r) {
+		slots += s.slots(r, w, s.ending(r, w))
+	}
+	return slots >= gangReach*len(r.waiting)
 }
 
 // enough returns the workers with the most room that can be expected to take the step's
@@ -138,7 +198,7 @@
 	expected, need := 0.0, askSurplus*float64(len(r.waiting))
 	var out []*worker
 	for _, room := range rooms {
-		if len(out) >= askAtLeast && expected >= need || len(out) == askAtMost*asksAtOnce {
+		if len(out) >= askAtLeast && expected >= need || len(out) == asksInTotal {
 			break
 		}
 		expected += rate * float64(room.slots)
@@ -147,14 +207,18 @@
 	return out
 }
 
-// ask queues calls about the workers, in equal parts.
+// ask queues calls about the workers, if any, in equal parts.
 func (s *Scheduler) ask(r *readyStep, a *advice, list []*worker) {
 	terms := r.job.Queue.Advisor
-	for calls := (len(list) + askAtMost - 1) / askAtMost; calls > 0; calls-- {
+	size := askAtMost
+	if 2*len(s.freeAdvisors()) > len(s.advisors) {
+		size = quickPart
+	}
+	for calls := (len(list) + size - 1) / size; calls > 0; calls-- {
 		part := list[:(len(list)+calls-1)/calls]
 		list = list[len(part):]
-		q := &ask{ref: r.ref, priority: r.job.Queue.Priority, due: r.due,
-			length: millis(terms.DecisionMillis + terms.PerWorkerMillis*float64(len(part)))}
+		q := &ask{ref: r.ref, queue: r.job.Queue.Name, priority: r.job.Queue.Priority, due: r.due,
+			length: callLength(terms, len(part))}
 		for _, w := range part {
 			q.workers = append(q.workers, *w.life)
 			a.pending[w.life.Number] = true
@@ -178,34 +242,48 @@
 	}
 }
 
-// renewable returns the granted workers with room and no valid ticket, if all granted ones
-// together have the room that the step needs to go on.
-func (s *Scheduler) renewable(r *readyStep, a *advice, workers []*worker) []*worker {
-	var out []*worker
-	room := 0
-	for _, w := range workers {
-		if _, granted := a.tickets[w.life.Number]; !granted {
-			continue
+// renewable returns the granted workers with room and no valid ticket.
+func (s *Scheduler) renewable(r *readyStep, a *advice) []*worker {
+	return slices.DeleteFunc(a.expiring(s.granted(r), s.now), func(w *worker) bool { return s.slots(r, w, s.yielding(r, w)) == 0 })
+}
+
+// renewableForGang returns the workers whose tickets a gang has to renew so that all that it
+// needs hold at once when less urgent work has been stopped; none if there is too little room
+// on the granted workers.
+func (s *Scheduler) renewableForGang(r *readyStep, a *advice) []*worker {
+	type room struct {
+		w     *worker
+		slots int
+	}
+	var rooms []room
+	for _, w := range s.granted(r) {
+		if n := s.slots(r, w, s.yielding(r, w)); n > 0 {
+			rooms = append(rooms, room{w, n})
 		}
-		n := s.slots(r, w, s.yielding(r, w))
-		room += n
-		if _, valid := a.ticketFor(w.life.Number, s.now); n > 0 && !valid {
-			out = append(out, w)
+	}
+	slices.SortStableFunc(rooms, func(x, y room) int { return cmp.Compare(y.slots, x.slots) })
+	total := 0
+	var list []*worker
+	for _, room := range rooms {
+		if float64(total) >= renewSurplus*float64(len(r.waiting)) {
+			break
 		}
+		total += room.slots
+		list = append(list, room.w)
 	}
-	if room == 0 || r.step.Gang && room < len(r.waiting) {
+	if total < len(r.waiting) {
 		return nil
 	}
-	return out
+	return a.expiring(list, s.now+callLength(r.job.Queue.Advisor, len(list))+s.settings.StopTimeout)
 }
 
 // unknown returns the workers about which the advisor was not asked; for tasks that start
 // one by one, those with room.
-func (s *Scheduler) unknown(r *readyStep, a *advice, workers []*worker) []*worker {
+func (s *Scheduler) unknown(r *readyStep, a *advice) []*worker {
 	var out []*worker
-	for _, w := range workers {
+	for _, w := range s.labelled(r) {
 		_, granted := a.tickets[w.life.Number]
-		if granted || a.denied[w.life.Number] || a.pending[w.life.Number] || !w.life.HasLabel(r.step.Label) {
+		if granted || a.denied[w.life.Number] || a.pending[w.life.Number] {
 			continue
 		}
 		if r.step.Gang || s.slots(r, w, s.yielding(r, w)) > 0 {
@@ -215,9 +293,15 @@
 	return out
 }
 
+// callLength is how long the advisor takes for a call about n workers.
+func callLength(terms *job.AdvisorTerms, n int) time.Duration {
+	return millis(terms.DecisionMillis + terms.PerWorkerMillis*float64(n))
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// sendAsks hands calls to free members, the most urgent first.
+// sendAsks hands calls to free members, the most urgent first. No queue keeps more than its
+// part of the members busy while others have calls that wait.
 func (s *Scheduler) sendAsks() {
 	if len(s.asks) == 0 {
 		return
@@ -225,25 +309,37 @@
 	slices.SortStableFunc(s.asks, func(x, y *ask) int {
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.due, y.due))
 	})
+	busy := map[string]int{}
+	for _, m := range s.advisors {
+		if m.busy {
+			busy[m.queue]++
+		}
+	}
 	free := s.freeAdvisors()
 	keep := min(longAsksKeepFree, len(s.advisors)/2)
-	var blocked *ask // the most urgent long call that waits
+	part := max(int(queuePart*float64(len(s.advisors)-keep)), 1)
+	free = s.sendWithin(free, keep, busy, part)
+	s.sendWithin(free, keep, busy, len(s.advisors))
+}
+
+// sendWithin hands calls to the free members as long as each queue has at most the given
+// number of members busy, and long calls leave keep members free. It returns the members
+// that are left.
+func (s *Scheduler) sendWithin(free []string, keep int, busy map[string]int, most int) []string {
 	waiting := s.asks[:0]
 	for _, q := range s.asks {
-		long := q.length > longAsk
-		if long && len(free) <= keep && blocked == nil {
-			blocked = q
-		}
-		// What is kept free of long calls is for calls that are more urgent than those.
-		if len(free) == 0 || long && len(free) <= keep || blocked != nil && q.priority >= blocked.priority {
+		if len(free) == 0 || q.length > longAsk && len(free) <= keep || busy[q.queue] >= most {
 			waiting = append(waiting, q)
 			continue
 		}
-		s.advisors[free[0]].busy = true
+		m := s.advisors[free[0]]
+		m.busy, m.queue = true, q.queue
+		busy[q.queue]++
 		s.actions = append(s.actions, Advise{Via: free[0], Step: q.ref, Workers: q.workers, Timeout: q.length + askGrace})
 		free = free[1:]
 	}
 	s.asks = waiting
+	return free
 }
 
 func (s *Scheduler) freeAdvisors() []string {
@@ -292,6 +388,9 @@
 	}
 	for _, t := range granted {
 		delete(a.denied, t.Worker)
+		if _, known := a.tickets[t.Worker]; !known {
+			a.granted = append(a.granted, t.Worker)
+		}
 		a.tickets[t.Worker] = ticket{t.Value, s.now + valid - ticketMargin}
 	}
 }
--- a/dispatch/booking.go
+++ b/dispatch/booking.go
@@ -12,6 +12,9 @@
 	// bookFor is how long room stays booked for a step: a stop takes up to half a second,
 	// and a ticket holds for about two.
 	bookFor = 1500 * time.Millisecond
+	// bookPart bounds the processors in bookings of a pool, as a part of what its usable
+	// workers have: room stands idle until a booking is complete.
+	bookPart = 0.2
 	// patientFor is how long room stays booked while work that is not preempted has to end.
 	patientFor = 4 * time.Second
 	// preemptFrom is the least estimated length of the tasks for which others are stopped.
@@ -26,6 +29,8 @@
 
 // booking is room on workers that is kept for a step until it comes up.
 type booking struct {
+	pool    string
+	cpu     int64 // thousandths of a core
 	until   time.Duration
 	patient bool
 	workers []*worker
@@ -63,26 +68,38 @@
 	}
 }
 
-// book keeps room for a gang on eligible workers and stops less urgent tasks there. It
-// reports whether the gang need not look for further workers.
-func (s *Scheduler) book(r *readyStep, eligible []*worker) bool {
+// book keeps room for a gang on the workers for which it has tickets and stops less urgent
+// tasks there. If there is too little, it may wait for room on all that are granted.
+func (s *Scheduler) book(r *readyStep, eligible []*worker) {
 	if !r.step.Gang {
-		return false
+		return
 	}
-	if s.bookings[r.ref] != nil {
-		return !s.bookings[r.ref].patient
+	b := s.bookings[r.ref]
+	if b != nil && !b.patient {
+		return
 	}
-	if s.bookRoom(r, eligible, s.yielding, false) {
+	if s.mayBook(r) && s.bookRoom(r, eligible, s.yielding, false) {
 		if r.step.EstimateMillis >= preemptFrom.Milliseconds() {
 			s.preempt(r)
 		}
-		return true
+		return
 	}
-	if s.patient() >= patientBookings {
-		return false
+	if b == nil && s.patient() < patientBookings {
+		s.bookRoom(r, s.granted(r), s.ending, true)
+	}
+}
+
+// mayBook reports whether the bookings of a pool are within their bound. The first one may be
+// of any size.
+func (s *Scheduler) mayBook(r *readyStep) bool {
+	pool := s.poolOf(r.job)
+	booked := int64(0)
+	for _, b := range s.bookings {
+		if b.pool == pool && !b.patient {
+			booked += b.cpu
+		}
 	}
-	s.bookRoom(r, s.granted(r), s.ending, true)
-	return false
+	return float64(booked) <= bookPart*float64(s.capacity[pool])
 }
 
 func (s *Scheduler) patient() int {
@@ -95,25 +112,6 @@
 	return n
 }
 
-// granted returns the usable workers that the step may use, now or with a renewed ticket.
-func (s *Scheduler) granted(r *readyStep) []*worker {
-	var out []*worker
-	pool := s.poolOf(r.job)
-	a := s.advice[r.ref]
-	for _, w := range s.sortedWorkers() {
-		if w.life.Pool != pool || !w.life.HasLabel(r.step.Label) || !s.usable(w) {
-			continue
-		}
-		if a != nil {
-			if _, granted := a.tickets[w.life.Number]; !granted {
-				continue
-			}
-		}
-		out = append(out, w)
-	}
-	return out
-}
-
 // candidate is a worker with the tasks of a step that it could take.
 type candidate struct {
 	w          *worker
@@ -140,10 +138,8 @@
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.now, a.now), cmp.Compare(b.later, a.later))
 	})
-	b := &booking{until: s.now + bookFor, patient: patient}
-	if patient {
-		b.until = s.now + patientFor
-	}
+	s.dropBooking(r.ref)
+	b := &booking{pool: s.poolOf(r.job), until: s.now + bookFor, patient: patient}
 	for _, c := range list {
 		if missing <= 0 {
 			break
@@ -156,6 +152,10 @@
 		}
 		c.w.booked[r.ref] = need
 		b.workers = append(b.workers, c.w)
+		b.cpu += need.MilliCPU
+	}
+	if patient {
+		b.until = s.now + patientFor
 	}
 	s.bookings[r.ref] = b
 	s.record(Decision{What: "room booked", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref}, Reason: bookingReason(patient)})
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// startRetry is the pause after a start without an answer; the same run is sent again.
-	startRetry = 50 * time.Millisecond
+	// startRetry is the pause after a first start without an answer; the same run is sent
+	// again. It doubles up to startRetryMax: a worker that is gone refuses connections at once.
+	startRetry    = 50 * time.Millisecond
+	startRetryMax = 800 * time.Millisecond
 	// stopRetry is how long a stop may go without the end being listed before it is sent
 	// again, besides the worker's own time to stop.
 	stopRetry = 300 * time.Millisecond
@@ -51,6 +53,7 @@
 	confirmedAt time.Duration
 	// retryAt is when an unanswered start or stop is sent again; 0 while one is under way.
 	retryAt time.Duration
+	retries int // orders in a row without an answer
 	// uncertain is set once a start had no answer, or was sent by an earlier leader: a copy
 	// of it may still be on its way.
 	uncertain bool
@@ -58,6 +61,7 @@
 	// answer to a start does not tell which life gave it.
 	listed    bool
 	startedAt time.Duration
+	share     share // in whose use its processors count
 }
 
 // knownBefore reports whether the worker confirmed the run or its stop before the time at
@@ -89,6 +93,8 @@
 	s.claims[c.key] = c
 	w.claims[c.key] = c
 	if step != nil {
+		c.share = s.shareOf(ref.Job, w.life.Pool)
+		s.inUse[c.share] += step.Reserved().MilliCPU
 		w.used = w.used.Plus(step.Reserved())
 		if step.Fills {
 			w.fillCPU += step.Need.MilliCPU
@@ -101,6 +107,7 @@
 	delete(s.claims, c.key)
 	delete(c.worker.claims, c.key)
 	if c.step != nil {
+		s.inUse[c.share] -= c.reserved().MilliCPU
 		c.worker.used = c.worker.used.Minus(c.step.Reserved())
 		if c.step.Fills {
 			c.worker.fillCPU -= c.step.Need.MilliCPU
@@ -182,6 +189,7 @@
 	switch reply {
 	case Accepted:
 		c.phase, c.confirmedAt = claimRunning, s.now
+		s.begun[ref.Job] = true
 	case RefusedOld:
 		s.deposed(w)
 	case OtherLife:
@@ -192,7 +200,7 @@
 		c.retryAt = s.now + startRetry
 	case NoReply:
 		c.uncertain = true
-		c.retryAt = s.now + startRetry
+		c.retryAt = s.now + c.nextPause()
 		w.health.noteSilence(s.now)
 	case Unhealthy:
 		w.health.noteUnhealthy(s.now)
@@ -247,10 +255,17 @@
 	case OtherLife:
 		s.lifeOver(c.worker, "another life has its address")
 	default:
-		c.retryAt = s.now + startRetry
+		c.retryAt = s.now + c.nextPause()
 	}
 }
 
+// nextPause is the pause after one more order without an answer.
+func (c *claim) nextPause() time.Duration {
+	pause := min(startRetry<<min(c.retries, 4), startRetryMax)
+	c.retries++
+	return pause
+}
+
 // stopJob stops all runs of a job.
 func (s *Scheduler) stopJob(id job.ID, reason string) {
 	for key, c := range s.claims {
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -28,6 +28,7 @@
 	// doneNoted are tasks with a done end that binds, lastStart is when each was last started.
 	doneNoted map[job.TaskRef]bool
 	lastStart map[job.TaskRef]time.Duration
+	gangs     map[gangKey][]*fakeRun
 }
 
 // faults are probabilities.
@@ -60,7 +61,7 @@
 
 func newCluster(seed uint64, f faults) *cluster {
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f,
-		doneNoted: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}}
+		doneNoted: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{}}
 	c.lead()
 	c.after(0, c.tick)
 	return c
--- /dev/null
+++ b/dispatch/pending_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+// Guards against a job that counts as started from its first claim on, although its workers
+// refused every start: callers are told that nothing waits.
+func TestJobWaitsUntilAWorkerHasStartedIt(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(1, false)
+	k.run(2 * time.Second)
+	submit := job.Op{Submit: &job.Submit{ID: 7, Queue: "drafts", Spec: job.Spec{Steps: []job.Step{step(1, 1000, 1000)}}, AcceptedMillis: k.wall()}}
+	k.state.Apply(submit)
+	k.sched.Applied(k.now, submit)
+	var started []Start
+	for range 20 {
+		k.now += 5 * time.Millisecond
+		k.sched.Tick(k.now, k.wall())
+		for _, a := range k.sched.Actions() {
+			switch a := a.(type) {
+			case Propose:
+				for _, op := range a.Ops {
+					k.state.Apply(op)
+					k.sched.Applied(k.now, op)
+				}
+			case Start:
+				started = append(started, a)
+				k.sched.Started(k.now, a.Task, a.Run, RefusedRoom, 0)
+			}
+		}
+	}
+	c.Assert(started, qt.Not(qt.HasLen), 0)
+	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 1)
+
+	last := started[len(started)-1]
+	k.sched.addClaim(last.Task, last.Run+1, k.sched.workers[1], &k.state.Job(7).Spec.Steps[0], claimSent)
+	k.sched.Started(k.now, last.Task, last.Run+1, Accepted, 0)
+	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 0)
+}
+
+// Guards against a job that counts as waiting again under a new leader after a run of it has ended.
+func TestEndedRunProvesAStart(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(1, false)
+	k.submit(7, step(2, 1000, 300))
+	k.run(2 * time.Second)
+	k.submit(8, step(1, 1000, 300), job.Step{Count: 1, Need: job.Resources{MilliCPU: 99_000}, EstimateMillis: 1, After: []int{0}})
+	k.run(4 * time.Second)
+	k.sched = New(k.settings(), k.state, k.record)
+	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 0)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,9 +23,9 @@
 const (
 	// lateFactor times its objective is how long a job is worth something to its caller.
 	lateFactor = 3
-	// surelyNeeded is the part of its estimated time that a job needs at the least;
-	// estimates are off by half.
-	surelyNeeded = 0.5
+	// probablyNeeded times its estimate is the time from which a job is expected to be late.
+	// Estimates are off by half and more, so one that starts with less is mostly late.
+	probablyNeeded = 1.2
 )
 
 // readyStep is a step with tasks that may start now.
@@ -50,33 +50,25 @@
 		return
 	}
 	s.dropStaleBookings()
-	pools := s.usableByPool()
-	s.idle = idleCPU(pools)
+	s.surveyPools()
+	s.keepHeadroom()
 	for _, r := range ready {
-		s.placeStep(r, pools)
+		s.placeStep(r)
 	}
 }
 
-// idleCPU sums the processors that are not reserved, by pool, in thousandths of a core.
-func idleCPU(pools map[string][]*worker) map[string]int64 {
-	idle := map[string]int64{}
-	for pool, workers := range pools {
-		for _, w := range workers {
-			idle[pool] += max(w.free().MilliCPU, 0)
-		}
-	}
-	return idle
-}
-
-// usableByPool lists the workers that take new work, by pool and number.
-func (s *Scheduler) usableByPool() map[string][]*worker {
-	pools := map[string][]*worker{}
+// surveyPools lists the workers that take new work in this pass, by pool and number, and sums
+// their processors and those that are not reserved.
+func (s *Scheduler) surveyPools() {
+	s.pools, s.idle, s.capacity = map[string][]*worker{}, map[string]int64{}, map[string]int64{}
 	for _, w := range s.sortedWorkers() {
-		if s.usable(w) {
-			pools[w.life.Pool] = append(pools[w.life.Pool], w)
+		if w.inPass = s.usable(w); w.inPass {
+			pool := w.life.Pool
+			s.pools[pool] = append(s.pools[pool], w)
+			s.idle[pool] += max(w.free().MilliCPU, 0)
+			s.capacity[pool] += w.life.Capacity.MilliCPU
 		}
 	}
-	return pools
 }
 
 // readySteps lists the steps whose dependencies are done, by priority and due time.
@@ -102,7 +94,7 @@
 func (s *Scheduler) lateRank(r *readyStep) int {
 	objective := r.due - r.submitted
 	switch left := r.due - s.wall; {
-	case left >= int64(surelyNeeded*float64(r.remaining)):
+	case left >= int64(probablyNeeded*float64(r.remaining)):
 		return 0
 	case left >= -(lateFactor-1)*objective:
 		return 1
@@ -220,14 +212,14 @@
 
 // placeStep claims workers for the waiting tasks of a step. A step that finds no room books
 // it, so that it does not go to others as it comes up.
-func (s *Scheduler) placeStep(r *readyStep, pools map[string][]*worker) {
+func (s *Scheduler) placeStep(r *readyStep) {
 	if s.now < r.retryAt {
 		s.dirty = true
 		return
 	}
-	workers := pools[s.poolOf(r.job)]
-	eligible := s.eligible(r, workers)
+	eligible := s.eligible(r)
 	placed := s.assign(r, eligible)
+	placed = placed[:min(len(placed), s.mayStart(r))]
 	if r.step.Gang && len(placed) < len(r.waiting) {
 		placed = nil
 	}
@@ -237,15 +229,17 @@
 	for i, w := range placed {
 		s.claimTask(r, r.waiting[i], w)
 	}
+	s.spare[s.poolOf(r.job)] -= int64(len(placed)) * r.step.Reserved().MilliCPU
 	r.waiting = r.waiting[len(placed):]
 	if len(r.waiting) == 0 {
 		s.touched[r.ref.Job] = true
+		s.dropAsks(r.ref)
 		return
 	}
 	r.retryAt, s.dirty = s.now+placeRetry, true
-	booked := s.book(r, eligible)
-	if r.job.Queue.Advisor != nil && !booked && s.expectsRoom(r) {
-		s.requestAdvice(r, workers)
+	s.book(r, eligible)
+	if r.job.Queue.Advisor != nil && s.expectsRoom(r) {
+		s.requestAdvice(r)
 	}
 }
 
@@ -261,23 +255,41 @@
 	return r.step.Gang || left >= r.step.Reserved().MilliCPU
 }
 
-// eligible returns the workers that may run the step, with tickets if its queue needs them.
-func (s *Scheduler) eligible(r *readyStep, workers []*worker) []*worker {
-	var a *advice
-	if r.job.Queue.Advisor != nil {
-		a = s.adviceFor(r.ref)
+// eligible returns the workers that may run the step now, with valid tickets if its queue
+// needs them.
+func (s *Scheduler) eligible(r *readyStep) []*worker {
+	if r.job.Queue.Advisor == nil {
+		return s.labelled(r)
+	}
+	a := s.adviceFor(r.ref)
+	return slices.DeleteFunc(s.granted(r), func(w *worker) bool {
+		_, valid := a.ticketFor(w.life.Number, s.now)
+		return !valid
+	})
+}
+
+// granted returns the workers that the step may use, now or with a renewed ticket.
+func (s *Scheduler) granted(r *readyStep) []*worker {
+	if r.job.Queue.Advisor == nil {
+		return s.labelled(r)
 	}
+	pool := s.poolOf(r.job)
 	var out []*worker
-	for _, w := range workers {
-		if !w.life.HasLabel(r.step.Label) {
-			continue
+	for _, number := range s.adviceFor(r.ref).granted {
+		if w := s.workers[number]; w != nil && w.inPass && w.life.Pool == pool && w.life.HasLabel(r.step.Label) {
+			out = append(out, w)
 		}
-		if a != nil {
-			if _, valid := a.ticketFor(w.life.Number, s.now); !valid {
-				continue
-			}
+	}
+	return out
+}
+
+// labelled returns the workers of the step's pool that take new work and have its label.
+func (s *Scheduler) labelled(r *readyStep) []*worker {
+	var out []*worker
+	for _, w := range s.pools[s.poolOf(r.job)] {
+		if w.life.HasLabel(r.step.Label) {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
 	return out
 }
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -62,6 +62,7 @@
 		c.run(2 * time.Second)
 		for i := range rapid.IntRange(1, 12).Draw(rt, "jobs") {
 			first := step(1+i%5, int64(500+700*(i%4)), 300+int64(i)*150)
+			first.Gang = rapid.Bool().Draw(rt, "gang")
 			second := step(2, 1000, 500)
 			second.After = []int{0}
 			c.after(time.Duration(i)*400*time.Millisecond, func() { c.submit(job.ID(i+1), first, second) })
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/job"
@@ -43,6 +44,7 @@
 	advice   map[job.StepRef]*advice
 	bookings map[job.StepRef]*booking
 	avoid    map[job.TaskRef]uint32 // the worker on which a task failed last
+	begun    map[job.ID]bool        // open jobs of which a worker has confirmed a start
 	advisors map[string]*advisor
 	asks     []*ask
 	grants   map[string]float64 // share of workers that the advisor grants, by queue
@@ -52,8 +54,15 @@
 	ready   map[job.ID][]*readyStep
 	touched map[job.ID]bool
 	wake    []wakeUp
-	// idle is what a pass of decide expects to be left of each pool's processors.
-	idle map[string]int64
+	// pools lists the workers that take new work in the newest pass of decide, capacity is
+	// what they have of processors, and idle what it expects to be left of these, by pool.
+	pools          map[string][]*worker
+	capacity, idle map[string]int64
+	// spare is what less urgent work may still take in this pass of each pool's processors.
+	spare map[string]int64
+	inUse map[share]int64 // thousandths of a core
+	// urgent is the priority of the most urgent queue of each pool.
+	urgent map[string]int
 
 	dirty       bool
 	nextDecide  time.Duration
@@ -76,7 +85,8 @@
 	s.workers, s.byName = map[uint32]*worker{}, map[string]uint32{}
 	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
-	s.grants = map[string]float64{}
+	s.inUse = map[share]int64{}
+	s.grants, s.begun = map[string]float64{}, map[job.ID]bool{}
 	s.bookings = map[job.StepRef]*booking{}
 	s.asks, s.actions, s.ops = nil, nil, nil
 	s.ready, s.touched, s.wake = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
@@ -205,11 +215,26 @@
 	if len(ids) > 0 {
 		s.propose(job.Op{Forget: ids})
 	}
-	for ref := range s.avoid {
-		if j := s.state.Job(ref.Job); j == nil || j.Outcome != job.Open {
-			delete(s.avoid, ref)
-		}
+	isOver := func(id job.ID) bool {
+		j := s.state.Job(id)
+		return j == nil || j.Outcome != job.Open
 	}
+	maps.DeleteFunc(s.avoid, func(ref job.TaskRef, _ uint32) bool { return isOver(ref.Job) })
+	maps.DeleteFunc(s.begun, func(id job.ID, _ bool) bool { return isOver(id) })
+}
+
+// HasBegun reports whether a task of a job has started, as far as this leader knows.
+func (s *Scheduler) HasBegun(j *job.Job) bool { return j.Started || s.begun[j.ID] }
+
+// PendingJobs returns how many accepted jobs of a queue wait for their first start.
+func (s *Scheduler) PendingJobs(queue string) int {
+	n := 0
+	s.state.OpenJobs(func(j *job.Job) {
+		if j.Queue.Name == queue && !s.HasBegun(j) {
+			n++
+		}
+	})
+	return n
 }
 
 // Applied tells that an operation was applied to the state.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -15,6 +15,9 @@
 	holdRetry = 200 * time.Millisecond
 	// holdRetryMax is the longest such pause.
 	holdRetryMax = time.Second
+	// firstHolds bounds the first Holds of a term that are sent in one scan: the answers of
+	// hundreds of workers at once keep a small leader from its heartbeats.
+	firstHolds = 8
 	// freshFor is how old the newest answer of a worker may be for new work to go there.
 	freshFor = 2500 * time.Millisecond
 	// endsAtOnce is how many ends a worker lists in one answer.
@@ -36,6 +39,7 @@
 	fillCPU  int64 // processors that filling tasks ask for, in thousandths
 	claims   map[claimKey]*claim
 	booked   map[job.StepRef]job.Resources // room kept for steps
+	inPass   bool                          // takes new work in the newest pass of decide
 
 	holding  bool // a Hold is under way
 	nextHold time.Duration
@@ -211,6 +215,7 @@
 
 // tickWorkers sends the Holds that are due and gives up what has certainly ended.
 func (s *Scheduler) tickWorkers() {
+	first := firstHolds
 	for _, w := range s.workers {
 		if w.over {
 			if len(w.claims) > 0 && s.now-w.heardAt > vanishAfter {
@@ -227,9 +232,16 @@
 			s.lifeOver(w, "silent")
 			continue
 		}
-		if !w.holding && w.uncommitted == 0 && s.now >= w.nextHold {
-			s.hold(w)
+		if w.holding || w.uncommitted > 0 || s.now < w.nextHold {
+			continue
+		}
+		if !w.reported {
+			if first == 0 {
+				continue
+			}
+			first--
 		}
+		s.hold(w)
 	}
 }
 
@@ -342,6 +354,7 @@
 		c.phase, c.confirmedAt = claimRunning, s.now
 	}
 	c.listed = true
+	s.begun[key.task.Job] = true
 	if run.Saved != "" {
 		c.saved = run.Saved
 	}
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -38,9 +38,19 @@
 type fakeRun struct {
 	key  claimKey
 	step *job.Step
+	on   *fakeWorker
 	over bool
 }
 
+// gangKey names one run of a gang.
+type gangKey struct {
+	step job.StepRef
+	run  uint32
+}
+
+// gangTimeout is how long a member of a gang waits for the others.
+const gangTimeout = 3 * time.Second
+
 // addWorker starts a life at an address; a life that was there is over.
 func (c *cluster) addWorker(name, address string, capacity job.Resources) *fakeWorker {
 	bornMillis := 1 + c.now.Milliseconds()
@@ -96,6 +106,9 @@
 	}
 	r.over = true
 	delete(w.runs, key)
+	if r.step.Gang && kind != job.EndDone {
+		w.c.breakGang(r)
+	}
 	w.closed[key.task] = max(w.closed[key.task], key.run)
 	w.last++
 	w.endedAt[w.last] = endMark{w.c.now, w.lapses}
@@ -199,8 +212,12 @@
 	}
 	step := &j.Spec.Steps[o.Task.Step]
 	w.c.checkStart(w, key, j, step)
-	r := &fakeRun{key: key, step: step}
+	r := &fakeRun{key: key, step: step, on: w}
 	w.runs[key] = r
+	if step.Gang {
+		w.c.joinGang(r)
+		return
+	}
 	length := time.Duration(float64(step.EstimateMillis)*(0.5+w.c.rng.Float64())) * time.Millisecond
 	kind := job.EndDone
 	if w.failing || w.c.rng.Float64() < w.c.faults.failed {
@@ -213,6 +230,56 @@
 	})
 }
 
+// joinGang lets a member wait for the others; the last one starts the work of all.
+func (c *cluster) joinGang(r *fakeRun) {
+	key := gangKey{r.key.task.StepRef, r.key.run}
+	c.gangs[key] = append(c.gangs[key], r)
+	members := c.present(key)
+	if len(members) < r.step.Count {
+		c.after(gangTimeout, func() {
+			if len(c.present(key)) < r.step.Count && !r.over {
+				r.on.end(r.key, job.EndStopped)
+			}
+		})
+		return
+	}
+	length := time.Duration(float64(r.step.EstimateMillis)*(0.5+c.rng.Float64())) * time.Millisecond
+	kind := job.EndDone
+	if c.rng.Float64() < c.faults.failed {
+		kind, length = job.EndFailed, length/2
+	}
+	c.after(length, func() {
+		members := c.present(key)
+		if len(members) < r.step.Count {
+			return
+		}
+		if kind == job.EndFailed {
+			members = members[:1]
+		}
+		for _, m := range members {
+			m.on.end(m.key, kind)
+		}
+	})
+}
+
+// present returns the members of a gang's run that are on workers.
+func (c *cluster) present(key gangKey) []*fakeRun {
+	var out []*fakeRun
+	for _, m := range c.gangs[key] {
+		if !m.over && m.on.up {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// breakGang ends the members of a gang's run that are left after one has ended.
+func (c *cluster) breakGang(r *fakeRun) {
+	for _, m := range c.present(gangKey{r.key.task.StepRef, r.key.run}) {
+		c.after(50*time.Millisecond, func() { m.on.end(m.key, job.EndStopped) })
+	}
+}
+
 func (w *fakeWorker) stop(o Stop) (Reply, int64) {
 	if o.Worker.Name != w.life.Name {
 		return OtherLife, 0
--- a/job/op.go
+++ b/job/op.go
@@ -13,6 +13,11 @@
 	EndNotStarted // the worker refused it or will refuse it
 )
 
+// started reports whether an end of this kind proves that the run had started.
+func (k EndKind) started() bool {
+	return k == EndDone || k == EndFailed || k == EndStopped || k == EndLapsed
+}
+
 // String returns the kind as it stands in logs.
 func (k EndKind) String() string {
 	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "lost", "not_started"}
--- a/job/record.go
+++ b/job/record.go
@@ -89,7 +89,7 @@
 	Queue   Queue   `cbor:"2,keyasint"` // as it was when the job was accepted
 	Spec    Spec    `cbor:"3,keyasint"`
 	Outcome Outcome `cbor:"4,keyasint,omitempty"`
-	Started bool    `cbor:"5,keyasint,omitempty"` // a task has been claimed
+	Started bool    `cbor:"5,keyasint,omitempty"` // a run of a task has ended that had started
 	// AcceptedMillis and EndedMillis are the accepting and the ending leader's time of day.
 	AcceptedMillis int64 `cbor:"6,keyasint"`
 	EndedMillis    int64 `cbor:"7,keyasint,omitempty"`
--- a/job/state.go
+++ b/job/state.go
@@ -202,7 +202,6 @@
 	if o.Saved != "" {
 		t.Saved = o.Saved
 	}
-	j.Started = true
 }
 
 func (s *State) end(o *End) {
@@ -214,6 +213,7 @@
 	if t == nil || t.Phase == Done {
 		return
 	}
+	j.Started = j.Started || o.Kind.started()
 	if o.Saved != "" && (o.Run == t.Run || o.Run == t.Copy) {
 		t.Saved = o.Saved
 	}
@@ -289,14 +289,3 @@
 		s.close(j, Failed, o.AtMillis)
 	}
 }
-
-// PendingJobs returns how many accepted jobs of a queue wait for their first start.
-func (s *State) PendingJobs(queue string) int {
-	n := 0
-	for _, j := range s.open {
-		if !j.Started && j.Queue.Name == queue {
-			n++
-		}
-	}
-	return n
-}
