--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -20,7 +20,7 @@
 	asksInTotal = 100
 	// queuePart is the part of the members for long calls that one queue may keep busy while
 	// calls of others wait.
-	queuePart = 0.85
+	queuePart = 0.75
 	// askSurplus is by how much the room that is asked for exceeds what the step needs.
 	askSurplus = 1.3
 	// gangReach is how many times over a gang should fit on the workers granted to it when
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,7 +15,7 @@
 	// clockDrift covers worker clocks that are 2% slow, and the leader's own.
 	clockDrift = 0.025
 	// decideEvery bounds how often all waiting work is looked at.
-	decideEvery = 5 * time.Millisecond
+	decideEvery = 10 * time.Millisecond
 	// scanWorkersEvery and scanClaimsEvery bound how often all workers and all claims are
 	// looked at for what is due.
 	scanWorkersEvery = 5 * time.Millisecond
@@ -39,6 +39,7 @@
 
 	workers  map[uint32]*worker
 	byName   map[string]uint32 // newest announced life
+	sorted   []*worker         // workers by number, nil if it has to be made anew
 	claims   map[claimKey]*claim
 	proposed map[job.TaskRef]bool // claims that are not committed
 	advice   map[job.StepRef]*advice
@@ -82,7 +83,7 @@
 // Reset drops the soft state; the node does not lead any more, or has taken a snapshot.
 func (s *Scheduler) Reset(state *job.State) {
 	s.state, s.leading = state, false
-	s.workers, s.byName = map[uint32]*worker{}, map[string]uint32{}
+	s.workers, s.byName, s.sorted = map[uint32]*worker{}, map[string]uint32{}, nil
 	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.inUse = map[share]int64{}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,7 +61,7 @@
 
 func (s *Scheduler) addWorker(life *job.Worker, leaseEnd time.Duration) *worker {
 	w := &worker{life: life, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, booked: map[job.StepRef]job.Resources{}, heardAt: s.now, leaving: life.Leaving}
-	s.workers[life.Number] = w
+	s.workers[life.Number], s.sorted = w, nil
 	s.byName[life.Name] = life.Number
 	return w
 }
@@ -208,6 +210,7 @@
 	}
 	s.loseClaims(w)
 	delete(s.workers, number)
+	s.sorted = nil
 	if s.byName[w.life.Name] == number {
 		delete(s.byName, w.life.Name)
 	}
@@ -393,10 +396,8 @@
 
 // sortedWorkers returns the workers by number, so that decisions are repeatable.
 func (s *Scheduler) sortedWorkers() []*worker {
-	out := make([]*worker, 0, len(s.workers))
-	for _, w := range s.workers {
-		out = append(out, w)
+	if s.sorted == nil {
+		s.sorted = slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.life.Number, b.life.Number) })
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return int(a.life.Number) - int(b.life.Number) })
-	return out
+	return s.sorted
 }
