dispatch: the pool and the room of a step are computed once a try

The pool of a step was looked up in the routes five to seven times a try, the routes were scanned for the most urgent queue in each pass, and the room for a step was counted twice for each question to the advisor, in three copies of one loop. Now one lookup a try, one scan a version of the configuration, and one function rooms. A call that is over is taken off in one place, and the checks for an open job and for a run that was told to stop have names. bookRoom is for gangs only, so its case for single tasks was dead.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -120,11 +120,7 @@
 		if q.ref != ref {
 			return false
 		}
-		a := s.adviceFor(ref)
-		a.asking--
-		for _, w := range q.workers {
-			delete(a.pending, w.Number)
-		}
+		s.adviceFor(ref).settle(q.workers)
 		return true
 	})
 }
@@ -160,6 +156,14 @@
 	s.ask(r, a, list)
 }
 
+// settle takes a call about the workers that is over or dropped off what is under way.
+func (a *advice) settle(workers []job.Worker) {
+	a.asking--
+	for _, w := range workers {
+		delete(a.pending, w.Number)
+	}
+}
+
 // expiring returns the workers whose tickets do not hold at a time.
 func (a *advice) expiring(workers []*worker, at time.Duration) []*worker {
 	var out []*worker
@@ -181,17 +185,27 @@
 	return slots >= gangReach*len(r.waiting)
 }
 
+// room is a worker with the waiting tasks of a step that fit there once less urgent work has
+// been stopped.
+type room struct {
+	w     *worker
+	slots int
+}
+
+// rooms returns the workers that have room for at least a number of tasks of a step.
+func (s *Scheduler) rooms(r *readyStep, workers []*worker, least int) []room {
+	out := make([]room, 0, len(workers))
+	for _, w := range workers {
+		if n := s.slots(r, w, s.yielding(r, w)); n >= least {
+			out = append(out, room{w, n})
+		}
+	}
+	return out
+}
+
 // enough returns the workers with the most room that can be expected to take the step's
 // waiting tasks, given the rate at which they are granted.
-func (s *Scheduler) enough(r *readyStep, list []*worker, rate float64) []*worker {
-	type room struct {
-		w     *worker
-		slots int
-	}
-	rooms := make([]room, len(list))
-	for i, w := range list {
-		rooms[i] = room{w, s.slots(r, w, s.yielding(r, w))}
-	}
+func (s *Scheduler) enough(r *readyStep, rooms []room, rate float64) []*worker {
 	slices.SortStableFunc(rooms, func(x, y room) int {
 		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU))
 	})
@@ -243,24 +257,15 @@
 }
 
 // renewable returns the granted workers with room and no valid ticket.
-func (s *Scheduler) renewable(r *readyStep, a *advice) []*worker {
-	return slices.DeleteFunc(a.expiring(s.granted(r), s.now), func(w *worker) bool { return s.slots(r, w, s.yielding(r, w)) == 0 })
+func (s *Scheduler) renewable(r *readyStep, a *advice) []room {
+	return s.rooms(r, a.expiring(s.granted(r), s.now), 1)
 }
 
 // renewableForGang returns the workers whose tickets a gang has to renew so that all that it
 // needs hold at once when less urgent work has been stopped; none if there is too little room
 // on the granted workers.
 func (s *Scheduler) renewableForGang(r *readyStep, a *advice) []*worker {
-	type room struct {
-		w     *worker
-		slots int
-	}
-	var rooms []room
-	for _, w := range s.granted(r) {
-		if n := s.slots(r, w, s.yielding(r, w)); n > 0 {
-			rooms = append(rooms, room{w, n})
-		}
-	}
+	rooms := s.rooms(r, s.granted(r), 1)
 	slices.SortStableFunc(rooms, func(x, y room) int { return cmp.Compare(y.slots, x.slots) })
 	total := 0
 	var list []*worker
@@ -279,18 +284,15 @@
 
 // unknown returns the workers about which the advisor was not asked; for tasks that start
 // one by one, those with room.
-func (s *Scheduler) unknown(r *readyStep, a *advice) []*worker {
-	var out []*worker
-	for _, w := range s.labelled(r) {
+func (s *Scheduler) unknown(r *readyStep, a *advice) []room {
+	list := slices.DeleteFunc(s.labelled(r), func(w *worker) bool {
 		_, granted := a.tickets[w.life.Number]
-		if granted || a.denied[w.life.Number] || a.pending[w.life.Number] {
-			continue
-		}
-		if r.step.Gang || s.slots(r, w, s.yielding(r, w)) > 0 {
-			out = append(out, w)
-		}
+		return granted || a.denied[w.life.Number] || a.pending[w.life.Number]
+	})
+	if r.step.Gang {
+		return s.rooms(r, list, 0)
 	}
-	return out
+	return s.rooms(r, list, 1)
 }
 
 // callLength is how long the advisor takes for a call about n workers.
@@ -367,10 +369,7 @@
 	if a == nil || !s.leading {
 		return
 	}
-	a.asking--
-	for _, w := range workers {
-		delete(a.pending, w.Number)
-	}
+	a.settle(workers)
 	s.dirty = true
 	for _, r := range s.ready[ref.Job] {
 		r.retryAt = 0
--- a/dispatch/booking.go
+++ b/dispatch/booking.go
@@ -92,14 +92,13 @@
 // mayBook reports whether the bookings of a pool are within their bound. The first one may be
 // of any size.
 func (s *Scheduler) mayBook(r *readyStep) bool {
-	pool := s.poolOf(r.job)
 	booked := int64(0)
 	for _, b := range s.bookings {
-		if b.pool == pool && !b.patient {
+		if b.pool == r.pool && !b.patient {
 			booked += b.cpu
 		}
 	}
-	return float64(booked) <= bookPart*float64(s.capacity[pool])
+	return float64(booked) <= bookPart*float64(s.capacity[r.pool])
 }
 
 func (s *Scheduler) patient() int {
@@ -118,9 +117,8 @@
 	now, later int
 }
 
-// bookRoom books room for all waiting tasks, on the workers with the most room now, then
-// with the most room by the measure given. It books nothing if that is not enough for a
-// gang, or for a single task.
+// bookRoom books room for all tasks of a gang, on the workers with the most room now, then
+// with the most room by the measure given. It books nothing if that is not enough.
 func (s *Scheduler) bookRoom(r *readyStep, workers []*worker, room func(*readyStep, *worker) job.Resources, patient bool) bool {
 	var list []candidate
 	total := 0
@@ -132,14 +130,17 @@
 		}
 	}
 	missing := len(r.waiting)
-	if total == 0 || r.step.Gang && total < missing {
+	if total < missing {
 		return false
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.now, a.now), cmp.Compare(b.later, a.later))
 	})
 	s.dropBooking(r.ref)
-	b := &booking{pool: s.poolOf(r.job), until: s.now + bookFor, patient: patient}
+	b := &booking{pool: r.pool, until: s.now + bookFor, patient: patient}
+	if patient {
+		b.until = s.now + patientFor
+	}
 	for _, c := range list {
 		if missing <= 0 {
 			break
@@ -154,9 +155,6 @@
 		b.workers = append(b.workers, c.w)
 		b.cpu += need.MilliCPU
 	}
-	if patient {
-		b.until = s.now + patientFor
-	}
 	s.bookings[r.ref] = b
 	s.record(Decision{What: "room booked", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref}, Reason: bookingReason(patient)})
 	return true
@@ -173,7 +171,7 @@
 func (s *Scheduler) yielding(r *readyStep, w *worker) job.Resources {
 	room := w.available(r.ref)
 	for _, c := range w.claims {
-		if c.phase == claimStopping || c.phase == claimStopped || s.preemptible(r, c) {
+		if c.isEnding() || s.preemptible(r, c) {
 			room = room.Plus(c.reserved())
 		}
 	}
@@ -212,7 +210,7 @@
 		var victims []*claim
 		for _, c := range w.claims {
 			switch {
-			case c.phase == claimStopping || c.phase == claimStopped:
+			case c.isEnding():
 				missing = missing.Minus(c.reserved())
 			case s.preemptible(r, c):
 				victims = append(victims, c)
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// startRetry is the pause after a first start without an answer; the same run is sent
-	// again. It doubles up to startRetryMax: a worker that is gone refuses connections at once.
+	// startRetry is the pause after a first start or stop without an answer; the same order is
+	// sent again. It doubles up to startRetryMax: a worker that is gone refuses connections at once.
 	startRetry    = 50 * time.Millisecond
 	startRetryMax = 800 * time.Millisecond
 	// stopRetry is how long a stop may go without the end being listed before it is sent
@@ -53,7 +53,7 @@
 	confirmedAt time.Duration
 	// retryAt is when an unanswered start or stop is sent again; 0 while one is under way.
 	retryAt time.Duration
-	retries int // orders in a row without an answer
+	retries int // orders without an answer
 	// uncertain is set once a start had no answer, or was sent by an earlier leader: a copy
 	// of it may still be on its way.
 	uncertain bool
@@ -76,6 +76,9 @@
 	return false
 }
 
+// isEnding reports whether the run was told to stop.
+func (c *claim) isEnding() bool { return c.phase == claimStopping || c.phase == claimStopped }
+
 // reserved is the room that the claim takes.
 func (c *claim) reserved() job.Resources {
 	if c.step == nil {
@@ -152,8 +155,8 @@
 
 // holdsClaim reports whether the state has the claim.
 func (s *Scheduler) holdsClaim(c *claim) bool {
-	j := s.state.Job(c.key.task.Job)
-	if j == nil || j.Outcome != job.Open {
+	j := s.openJob(c.key.task.Job)
+	if j == nil {
 		return false
 	}
 	_, _, t := j.Task(c.key.task)
@@ -161,8 +164,8 @@
 }
 
 func (s *Scheduler) start(c *claim) {
-	j := s.state.Job(c.key.task.Job)
-	if j == nil || j.Outcome != job.Open {
+	j := s.openJob(c.key.task.Job)
+	if j == nil {
 		s.giveUp(c, "job ended before its start was sent")
 		return
 	}
@@ -323,8 +326,8 @@
 	if c.step == nil || !c.step.Gang || s.now-c.startedAt < gangBreakAfter {
 		return false
 	}
-	j := s.state.Job(c.key.task.Job)
-	if j == nil || j.Outcome != job.Open {
+	j := s.openJob(c.key.task.Job)
+	if j == nil {
 		return false
 	}
 	_, ss, _ := j.Task(c.key.task)
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -24,6 +24,7 @@
 	if len(ready) != 1 {
 		t.Fatalf("%d steps are ready", len(ready))
 	}
+	ready[0].pool = "desk"
 	k.sched.surveyPools()
 	return k, ready[0], k.sched.adviceFor(ready[0].ref)
 }
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -25,25 +25,32 @@
 
 // keepHeadroom computes what less urgent work may take of the idle processors in this pass.
 func (s *Scheduler) keepHeadroom() {
+	if version := s.state.Config().Version; s.urgent == nil || version != s.urgentVersion {
+		s.urgent, s.urgentVersion = mostUrgent(s.state.Config().Queues), version
+	}
+	s.spare = map[string]int64{}
+	for pool, idle := range s.idle {
+		s.spare[pool] = idle - int64(headroomPart*float64(s.inUse[share{pool, s.urgent[pool]}]))
+	}
+}
+
+// mostUrgent returns the priority of the most urgent queue of each pool.
+func mostUrgent(queues []job.Queue) map[string]int {
 	urgent := map[string]int{}
-	for _, q := range s.state.Config().Queues {
+	for _, q := range queues {
 		if p, known := urgent[q.Pool]; !known || q.Priority < p {
 			urgent[q.Pool] = q.Priority
 		}
 	}
-	s.spare = map[string]int64{}
-	for pool, idle := range s.idle {
-		s.spare[pool] = idle - int64(headroomPart*float64(s.inUse[share{pool, urgent[pool]}]))
-	}
-	s.urgent = urgent
+	return urgent
 }
 
 // mayStart returns how many of the waiting tasks of a step may start within the headroom that
 // is kept for more urgent work. Gangs are not held back, since they book their room.
 func (s *Scheduler) mayStart(r *readyStep) int {
-	pool, cpu := s.poolOf(r.job), r.step.Reserved().MilliCPU
-	if r.step.Gang || cpu == 0 || r.job.Queue.Priority <= s.urgent[pool] {
+	cpu := r.step.Reserved().MilliCPU
+	if r.step.Gang || cpu == 0 || r.job.Queue.Priority <= s.urgent[r.pool] {
 		return len(r.waiting)
 	}
-	return int(min(max(s.spare[pool]/cpu, 0), int64(len(r.waiting))))
+	return int(min(max(s.spare[r.pool]/cpu, 0), int64(len(r.waiting))))
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -39,6 +39,8 @@
 	// done, in Unix milliseconds.
 	submitted, due int64
 	remaining      int64 // estimated milliseconds of the longest chain from this step on
+	// pool is where the step runs, as the configuration had it at the newest try.
+	pool string
 	// retryAt is when the step is tried again after it found no room.
 	retryAt time.Duration
 }
@@ -104,8 +106,8 @@
 
 // refresh makes the list of a job's ready steps anew.
 func (s *Scheduler) refresh(id job.ID) {
-	j := s.state.Job(id)
-	if j == nil || j.Outcome != job.Open {
+	j := s.openJob(id)
+	if j == nil {
 		delete(s.ready, id)
 		return
 	}
@@ -217,6 +219,7 @@
 		s.dirty = true
 		return
 	}
+	r.pool = s.poolOf(r.job)
 	eligible := s.eligible(r)
 	placed := s.assign(r, eligible)
 	placed = placed[:min(len(placed), s.mayStart(r))]
@@ -229,7 +232,7 @@
 	for i, w := range placed {
 		s.claimTask(r, r.waiting[i], w)
 	}
-	s.spare[s.poolOf(r.job)] -= int64(len(placed)) * r.step.Reserved().MilliCPU
+	s.spare[r.pool] -= int64(len(placed)) * r.step.Reserved().MilliCPU
 	r.waiting = r.waiting[len(placed):]
 	if len(r.waiting) == 0 {
 		s.touched[r.ref.Job] = true
@@ -247,10 +250,9 @@
 // one in the pass can use, and counts this one in. A gang is asked about in any case, since
 // what is granted does not change; what it needs counts only while room is booked for it.
 func (s *Scheduler) expectsRoom(r *readyStep) bool {
-	pool := s.poolOf(r.job)
-	left := s.idle[pool]
+	left := s.idle[r.pool]
 	if !r.step.Gang || s.bookings[r.ref] != nil {
-		s.idle[pool] -= r.step.Reserved().MilliCPU * int64(len(r.waiting))
+		s.idle[r.pool] -= r.step.Reserved().MilliCPU * int64(len(r.waiting))
 	}
 	return r.step.Gang || left >= r.step.Reserved().MilliCPU
 }
@@ -273,10 +275,9 @@
 	if r.job.Queue.Advisor == nil {
 		return s.labelled(r)
 	}
-	pool := s.poolOf(r.job)
 	var out []*worker
 	for _, number := range s.adviceFor(r.ref).granted {
-		if w := s.workers[number]; w != nil && w.inPass && w.life.Pool == pool && w.life.HasLabel(r.step.Label) {
+		if w := s.workers[number]; w != nil && w.inPass && w.life.Pool == r.pool && w.life.HasLabel(r.step.Label) {
 			out = append(out, w)
 		}
 	}
@@ -286,7 +287,7 @@
 // labelled returns the workers of the step's pool that take new work and have its label.
 func (s *Scheduler) labelled(r *readyStep) []*worker {
 	var out []*worker
-	for _, w := range s.pools[s.poolOf(r.job)] {
+	for _, w := range s.pools[r.pool] {
 		if w.life.HasLabel(r.step.Label) {
 			out = append(out, w)
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -62,8 +62,10 @@
 	// spare is what less urgent work may still take in this pass of each pool's processors.
 	spare map[string]int64
 	inUse map[share]int64 // thousandths of a core
-	// urgent is the priority of the most urgent queue of each pool.
-	urgent map[string]int
+	// urgent is the priority of the most urgent queue of each pool, by the configuration of
+	// urgentVersion; nil if it has to be made anew.
+	urgent        map[string]int
+	urgentVersion int64
 
 	dirty       bool
 	nextDecide  time.Duration
@@ -86,7 +88,7 @@
 	s.workers, s.byName, s.sorted = map[uint32]*worker{}, map[string]uint32{}, nil
 	s.claims, s.proposed = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.avoid = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
-	s.inUse = map[share]int64{}
+	s.inUse, s.urgent = map[share]int64{}, nil
 	s.grants, s.begun = map[string]float64{}, map[job.ID]bool{}
 	s.bookings = map[job.StepRef]*booking{}
 	s.asks, s.actions, s.ops = nil, nil, nil
@@ -216,12 +218,16 @@
 	if len(ids) > 0 {
 		s.propose(job.Op{Forget: ids})
 	}
-	isOver := func(id job.ID) bool {
-		j := s.state.Job(id)
-		return j == nil || j.Outcome != job.Open
+	maps.DeleteFunc(s.avoid, func(ref job.TaskRef, _ uint32) bool { return s.openJob(ref.Job) == nil })
+	maps.DeleteFunc(s.begun, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
+}
+
+// openJob returns a job that has not ended, or nil.
+func (s *Scheduler) openJob(id job.ID) *job.Job {
+	if j := s.state.Job(id); j != nil && j.Outcome == job.Open {
+		return j
 	}
-	maps.DeleteFunc(s.avoid, func(ref job.TaskRef, _ uint32) bool { return isOver(ref.Job) })
-	maps.DeleteFunc(s.begun, func(id job.ID, _ bool) bool { return isOver(id) })
+	return nil
 }
 
 // HasBegun reports whether a task of a job has started, as far as this leader knows.
