--- a/cell/orders.go
+++ b/cell/orders.go
@@ -52,26 +52,31 @@
 }
 
 func (h *host) sendStart(o dispatch.Start) {
-	epoch := h.epoch
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		defer cancel()
-		began := time.Now()
-		reply, clock := h.n.workers.Start(ctx, o)
-		h.n.metrics.ordered("start", reply, time.Since(began))
-		h.reply(epoch, func(now time.Duration) { h.sched.Started(now, o.Task, o.Run, reply, clock) })
-	}()
+	h.sendOrder("start",
+		func(ctx context.Context) (dispatch.Reply, int64) { return h.n.workers.Start(ctx, o) },
+		func(now time.Duration, reply dispatch.Reply, clock int64) {
+			h.sched.Started(now, o.Task, o.Run, reply, clock)
+		})
 }
 
 func (h *host) sendStop(o dispatch.Stop) {
+	h.sendOrder("stop",
+		func(ctx context.Context) (dispatch.Reply, int64) { return h.n.workers.Stop(ctx, o) },
+		func(now time.Duration, reply dispatch.Reply, clock int64) {
+			h.sched.Stopped(now, o.Task, o.Run, reply, clock)
+		})
+}
+
+// sendOrder sends a start or a stop and brings its reply, with the worker's clock, to the loop.
+func (h *host) sendOrder(kind string, send func(ctx context.Context) (dispatch.Reply, int64), replied func(now time.Duration, reply dispatch.Reply, clock int64)) {
 	epoch := h.epoch
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		began := time.Now()
-		reply, clock := h.n.workers.Stop(ctx, o)
-		h.n.metrics.ordered("stop", reply, time.Since(began))
-		h.reply(epoch, func(now time.Duration) { h.sched.Stopped(now, o.Task, o.Run, reply, clock) })
+		reply, clock := send(ctx)
+		h.n.metrics.ordered(kind, reply, time.Since(began))
+		h.reply(epoch, func(now time.Duration) { replied(now, reply, clock) })
 	}()
 }
 
