--- a/bench/capacity/load.go
+++ b/bench/capacity/load.go
@@ -47,31 +47,8 @@
 	}
 }
 
-func awaitServing(ctx context.Context, c *client.Client) error {
-	return await(ctx, "three VMs that may serve", func() bool {
-		st, err := c.Status(ctx)
-		serving := 0
-		for _, vm := range st.VMs {
-			if vm.MayServe {
-				serving++
-			}
-		}
-		return err == nil && serving == 3 && len(st.Partitions) == 2
-	})
-}
-
-func awaitWorkers(ctx context.Context, c *client.Client, n int) error {
-	return await(ctx, fmt.Sprintf("%d ready workers", n), func() bool {
-		workers, err := c.Workers(ctx)
-		ready := 0
-		for _, w := range workers {
-			if w.State == "ready" {
-				ready++
-			}
-		}
-		return err == nil && ready == n
-	})
-}
+// readyBound is how long the cluster may take to form, and hundreds of workers to be ready.
+const readyBound = time.Minute
 
 // routesInTable is the size of the tables: 100 teams with a route each.
 const routesInTable = 100
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/oleanderchute/oleanderchute/client"
 	"github.com/oleanderchute/oleanderchute/internal/localcluster"
 )
@@ -99,7 +97,7 @@
 		return err
 	}
 	b.client = c
-	if err := awaitServing(ctx, c); err != nil {
+	if err := localcluster.AwaitServing(ctx, readyBound, c, 3, 2); err != nil {
 		return err
 	}
 	if b.version, err = applyTables(ctx, c, 0, 0); err != nil {
@@ -109,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	return awaitWorkers(ctx, c, workers)
+	return localcluster.AwaitWorkers(ctx, readyBound, c, workers)
 }
 
 func (b *bench) stop() {
@@ -187,17 +185,3 @@
 	t.print()
 	return nil
 }
-
-// await polls until the condition holds.
-func await(ctx context.Context, what string, condition func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Minute)
-	defer cancel()
-	for !condition() {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("not in time: %s", what)
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-	return nil
-}
--- a/bench/flood/main.go
+++ b/bench/flood/main.go
@@ -100,7 +100,7 @@
 		}
 		b.entries = append(b.entries, c)
 	}
-	if err := b.awaitServing(ctx); err != nil {
+	if err := localcluster.AwaitServing(ctx, readyBound, b.operator, len(b.Addresses), 2); err != nil {
 		return err
 	}
 	if err := b.applyTables(ctx); err != nil {
@@ -109,7 +109,7 @@
 	if err := b.startWorkers(); err != nil {
 		return err
 	}
-	if err := b.awaitWorkers(ctx); err != nil {
+	if err := localcluster.AwaitWorkers(ctx, readyBound, b.operator, b.options.workers); err != nil {
 		return err
 	}
 	time.Sleep(settle)
@@ -122,31 +122,8 @@
 // callTimeout bounds a call apart from the time that it asks the server to wait.
 const callTimeout = 8 * time.Second
 
-func (b *bench) awaitServing(ctx context.Context) error {
-	return await(ctx, "three VMs that may serve", func() bool {
-		st, err := b.operator.Status(ctx)
-		serving := 0
-		for _, vm := range st.VMs {
-			if vm.MayServe {
-				serving++
-			}
-		}
-		return err == nil && serving == len(b.Addresses) && len(st.Partitions) == 2
-	})
-}
-
-func (b *bench) awaitWorkers(ctx context.Context) error {
-	return await(ctx, "ready workers", func() bool {
-		workers, err := b.operator.Workers(ctx)
-		ready := 0
-		for _, w := range workers {
-			if w.State == "ready" {
-				ready++
-			}
-		}
-		return err == nil && ready == b.options.workers
-	})
-}
+// readyBound is how long the cluster may take to form, and its workers to be ready.
+const readyBound = 30 * time.Second
 
 func (b *bench) applyTables(ctx context.Context) error {
 	answer, err := b.operator.Apply(ctx, api.ApplyRequest{Operator: "flood", Tables: api.Tables{
@@ -192,17 +169,3 @@
 	}
 	b.Stop()
 }
-
-// await polls until the condition holds.
-func await(ctx context.Context, what string, condition func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
-	defer cancel()
-	for !condition() {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("not in time: %s", what)
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-	return nil
-}
--- a/demo/main.go
+++ b/demo/main.go
@@ -55,7 +55,7 @@
 	}
 	defer c.Close()
 	fmt.Println("three daemons started; waiting for the cluster to form")
-	if err := awaitCluster(ctx, c); err != nil {
+	if err := localcluster.AwaitServing(ctx, demoTimeout, c, 3, 2); err != nil {
 		return err
 	}
 	if err := applyTables(ctx, c); err != nil {
@@ -64,28 +64,13 @@
 	if err := startWorkers(cluster); err != nil {
 		return err
 	}
-	if err := awaitWorkers(ctx, c); err != nil {
+	if err := localcluster.AwaitWorkers(ctx, demoTimeout, c, 3); err != nil {
 		return err
 	}
 	printRequests(ctx, c)
 	return printProblems(ctx, c)
 }
 
-func awaitCluster(ctx context.Context, c *client.Client) error {
-	return await(ctx, "three VMs that may serve, and two partitions", func() bool {
-		st, err := c.Status(ctx)
-		if err != nil || len(st.VMs) != 3 || len(st.Partitions) != 2 {
-			return false
-		}
-		for _, vm := range st.VMs {
-			if !vm.MayServe {
-				return false
-			}
-		}
-		return true
-	})
-}
-
 func applyTables(ctx context.Context, c *client.Client) error {
 	tables := api.Tables{
 		Routes: []api.Route{
@@ -108,30 +93,6 @@
 // misspelledWorker announces a pool that does not exist.
 const misspelledWorker = "w4"
 
-func awaitWorkers(ctx context.Context, c *client.Client) error {
-	return await(ctx, "three workers that are ready", func() bool {
-		workers, err := c.Workers(ctx)
-		ready := 0
-		for _, w := range workers {
-			if w.State == "ready" {
-				ready++
-			}
-		}
-		return err == nil && ready == 3
-	})
-}
-
-func await(ctx context.Context, what string, condition func() bool) error {
-	for !condition() {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("not in time: %s", what)
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-	return nil
-}
-
 // requests shows each outcome that a caller may see.
 func requests() []api.SubmitRequest {
 	size := api.Resources{MilliCPU: 1000, MemoryMB: 512}
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -89,6 +89,14 @@
 	return cl
 }
 
+// newServingCluster is newCluster with the tables in force everywhere and workers ready.
+func newServingCluster(c *qt.C) *cluster {
+	cl := newCluster(c)
+	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
+	cl.startWorkers()
+	return cl
+}
+
 func (cl *cluster) daemonArgs(v *vm) []string {
 	var peers []string
 	for _, other := range cl.vms {
--- a/integration/freeze_test.go
+++ b/integration/freeze_test.go
@@ -16,9 +16,7 @@
 func TestFrozenPartitionLeader(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	s := cl.startStream(defaultStream(3))
 	for _, partition := range []string{"north", "south"} {
 		cl.freezeDuringStream(s, partition)
--- a/integration/kill_test.go
+++ b/integration/kill_test.go
@@ -11,9 +11,7 @@
 func TestKilledDaemons(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	s := cl.startStream(defaultStream(2))
 	for _, v := range cl.vms {
 		cl.killDuringStream(s, v)
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -16,9 +16,7 @@
 func TestGracefulShutdown(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	book := newLedger()
 	s := cl.startStream(defaultStream(8))
 	for i, v := range cl.vms {
--- a/integration/silence_test.go
+++ b/integration/silence_test.go
@@ -51,9 +51,7 @@
 func TestSilentConnections(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	s := cl.startStream(defaultStream(5))
 	cl.waitSent(s, 60)
 	for i, w := range cl.workers {
@@ -193,9 +191,7 @@
 func TestAnswersCutInTheMiddle(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	book := newLedger()
 	caller := cl.caller(2)
 	owner := cl.partitionLeader("north")
--- a/integration/timing_test.go
+++ b/integration/timing_test.go
@@ -22,9 +22,7 @@
 // cluster of the package disturbs the figures.
 func TestTimeAddedToRequests(t *testing.T) {
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	const run = 10 * time.Millisecond
 	added := map[bool][]time.Duration{}
 	caller := cl.caller(0)
--- a/integration/workerloss_test.go
+++ b/integration/workerloss_test.go
@@ -17,9 +17,7 @@
 func TestLostWorkers(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	plan := defaultStream(6)
 	plan.longestRun = 200 * time.Millisecond
 	s := cl.startStream(plan)
@@ -66,9 +64,7 @@
 func TestLeavingWorker(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(c)
-	awaitVersion(c, cl.vms, cl.apply(tables(), 0), spreadBound)
-	cl.startWorkers()
+	cl := newServingCluster(c)
 	book := newLedger()
 	w := cl.worker("w1")
 	long := cl.submitLong(book)
