dispatch, cell: log and measure how long calls to the advisor wait for a proxy

The properties that order steps are one type now, which the call carries. No order of steps or calls is changed; dispatch and cell tests pass.

--- a/cell/host.go
+++ b/cell/host.go
@@ -130,9 +130,7 @@
 		if now >= h.nextReconcile {
 			h.nextReconcile = now + replica.ReconcileInterval
 			h.reconcile(now)
-			open, workers := h.scheduler.Load()
-			h.node.metrics.openJobs.Set(float64(open))
-			h.node.metrics.workers.Set(float64(workers))
+			h.node.metrics.setLoad(h.scheduler.Load())
 		}
 	}
 	h.group.ProcessReady(now)
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -14,15 +14,18 @@
 
 // metrics holds the Prometheus metrics of one VM.
 type metrics struct {
-	registry     *prometheus.Registry
-	calls        *prometheus.CounterVec
-	callSeconds  *prometheus.HistogramVec
-	orders       *prometheus.CounterVec
-	orderSeconds *prometheus.HistogramVec
-	decisions    *prometheus.CounterVec
-	leader       prometheus.Gauge
-	openJobs     prometheus.Gauge
-	workers      prometheus.Gauge
+	registry      *prometheus.Registry
+	calls         *prometheus.CounterVec
+	callSeconds   *prometheus.HistogramVec
+	orders        *prometheus.CounterVec
+	orderSeconds  *prometheus.HistogramVec
+	decisions     *prometheus.CounterVec
+	leader        prometheus.Gauge
+	openJobs      prometheus.Gauge
+	workers       prometheus.Gauge
+	queuedCalls   prometheus.Gauge
+	busyProxies   prometheus.Gauge
+	adviceSeconds *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -41,8 +44,15 @@
 		leader:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_leader", Help: "1 while this VM leads."}),
 		openJobs: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_open_jobs", Help: "Jobs that have not ended, on the leader."}),
 		workers:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_workers", Help: "Worker lives known to the leader."}),
+		queuedCalls: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_advisor_calls_queued",
+			Help: "Calls to the advisor that wait for a member to send them, on the leader."}),
+		busyProxies: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_advisor_calls_in_flight",
+			Help: "Calls to the advisor that wait for its answer, on the leader."}),
+		adviceSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_advice_seconds",
+			Help: "Time that a call to the advisor waited for a member, and then for its answer.", Buckets: latencyBuckets}, []string{"phase"}),
 	}
-	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers)
+	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers,
+		m.queuedCalls, m.busyProxies, m.adviceSeconds)
 	return m
 }
 
@@ -51,6 +61,13 @@
 	m.callSeconds.WithLabelValues(k.String()).Observe(took.Seconds())
 }
 
+func (m *metrics) setLoad(l dispatch.Load) {
+	m.openJobs.Set(float64(l.OpenJobs))
+	m.workers.Set(float64(l.Workers))
+	m.queuedCalls.Set(float64(l.QueuedCalls))
+	m.busyProxies.Set(float64(l.BusyProxies))
+}
+
 func (m *metrics) recordOrder(order string, reply dispatch.Reply, took time.Duration) {
 	m.orders.WithLabelValues(order, reply.String()).Inc()
 	m.orderSeconds.WithLabelValues(order).Observe(took.Seconds())
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -125,7 +125,7 @@
 func decisionLogger(log *zap.Logger, m *metrics) func(dispatch.Decision) {
 	return func(d dispatch.Decision) {
 		m.decisions.WithLabelValues(d.Event).Inc()
-		fields := make([]zap.Field, 0, 8)
+		fields := make([]zap.Field, 0, 10)
 		if d.Job != 0 {
 			fields = append(fields, zap.Stringer("job", d.Job))
 		}
@@ -144,6 +144,11 @@
 		if d.InputAge != 0 {
 			fields = append(fields, zap.Int64("age_ms", d.InputAge.Milliseconds()))
 		}
+		if d.Took != 0 {
+			fields = append(fields, zap.Int64("queued_ms", d.Queued.Milliseconds()), zap.Int64("took_ms", d.Took.Milliseconds()))
+			m.adviceSeconds.WithLabelValues("queued").Observe(d.Queued.Seconds())
+			m.adviceSeconds.WithLabelValues("answer").Observe(d.Took.Seconds())
+		}
 		if d.ConfigVersion != 0 {
 			fields = append(fields, zap.Int64("version", d.ConfigVersion))
 		}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -68,19 +69,20 @@
 
 // advisorProxy is a member through which the advisor is called, one call at a time.
 type advisorProxy struct {
-	isBusy  bool
-	queue   string        // queue of the call in flight
+	call    *advisorCall  // in flight, nil if there is none
 	retryAt time.Duration // no new calls before this time
 }
 
-// advisorCall is a call that waits for a free proxy.
+// advisorCall is a call that waits for a free proxy or is in flight.
 type advisorCall struct {
-	ref            job.StepRef
-	queue          string
-	workers        []job.Worker
-	duration       time.Duration // expected duration
-	priority       int           // priority of the queue
-	deadlineMillis int64         // deadline of the step
+	ref              job.StepRef
+	queue            string
+	workers          []job.Worker
+	isRenewal        bool          // names only workers that were granted before
+	duration         time.Duration // expected duration
+	urgency                        // of the step
+	queuedAt, sentAt time.Duration
+	latenessWhenSent lateness
 }
 
 // SetAdvisorProxies sets the names of the members through which the advisor can be called.
@@ -149,6 +151,7 @@
 		return
 	}
 	var list []*worker
+	isRenewal := true
 	if r.step.Gang {
 		if res := s.reservations[r.ref]; res != nil && !res.isWaiting {
 			return // capacity is already reserved on workers for which it has valid tickets
@@ -158,9 +161,10 @@
 		list = s.selectToAsk(r, s.renewableWorkers(r, a), 1)
 	}
 	if len(list) == 0 && !(r.step.Gang && s.hasEnoughGranted(r)) {
+		isRenewal = false
 		list = s.selectToAsk(r, s.unaskedWorkers(r, a), s.grantRate(r.job.Queue.Name))
 	}
-	s.queueCalls(r, a, list)
+	s.queueCalls(r, a, list, isRenewal)
 }
 
 // finishCall removes a call about the given workers, which was answered, failed or dropped, from
@@ -231,7 +235,7 @@
 }
 
 // queueCalls queues calls about the workers, if any, and splits them equally among the calls.
-func (s *Scheduler) queueCalls(r *readyStep, a *advice, list []*worker) {
+func (s *Scheduler) queueCalls(r *readyStep, a *advice, list []*worker, isRenewal bool) {
 	advisor := r.job.Queue.Advisor
 	size := maxWorkersPerCall
 	if 2*len(s.freeProxies()) > len(s.proxies) {
@@ -240,8 +244,8 @@
 	for calls := (len(list) + size - 1) / size; calls > 0; calls-- {
 		part := list[:(len(list)+calls-1)/calls]
 		list = list[len(part):]
-		call := &advisorCall{ref: r.ref, queue: r.job.Queue.Name, priority: r.job.Queue.Priority, deadlineMillis: r.deadlineMillis,
-			duration: callDuration(advisor, len(part))}
+		call := &advisorCall{ref: r.ref, queue: r.job.Queue.Name, isRenewal: isRenewal, urgency: r.urgency,
+			duration: callDuration(advisor, len(part)), queuedAt: s.now}
 		for _, w := range part {
 			call.workers = append(call.workers, *w.info)
 			a.pending[w.info.Number] = true
@@ -325,8 +329,8 @@
 	})
 	busy := map[string]int{}
 	for _, proxy := range s.proxies {
-		if proxy.isBusy {
-			busy[proxy.queue]++
+		if proxy.call != nil {
+			busy[proxy.call.queue]++
 		}
 	}
 	free := s.freeProxies()
@@ -346,8 +350,8 @@
 			waiting = append(waiting, call)
 			continue
 		}
-		proxy := s.proxies[free[0]]
-		proxy.isBusy, proxy.queue = true, call.queue
+		s.proxies[free[0]].call = call
+		call.sentAt, call.latenessWhenSent = s.now, call.latenessAt(s.wallMillis)
 		busy[call.queue]++
 		s.actions = append(s.actions, Advise{Via: free[0], Step: call.ref, Workers: call.workers, Timeout: call.duration + callTimeoutMargin})
 		free = free[1:]
@@ -360,7 +364,7 @@
 func (s *Scheduler) freeProxies() []string {
 	var free []string
 	for name, proxy := range s.proxies {
-		if !proxy.isBusy && s.now >= proxy.retryAt {
+		if proxy.call == nil && s.now >= proxy.retryAt {
 			free = append(free, name)
 		}
 	}
@@ -368,12 +372,24 @@
 	return free
 }
 
+// busyProxies returns the number of proxies with a call in flight.
+func (s *Scheduler) busyProxies() int {
+	n := 0
+	for _, proxy := range s.proxies {
+		if proxy.call != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Advised handles the answer to an Advise about the given workers. ok is false if there was no
 // answer; validity is how long the tickets are valid, counted from now.
 func (s *Scheduler) Advised(now time.Duration, via string, ref job.StepRef, workers []job.Worker, granted []Ticket, validity time.Duration, ok bool) {
 	s.advanceClock(now)
+	var call *advisorCall
 	if proxy := s.proxies[via]; proxy != nil {
-		proxy.isBusy = false
+		call, proxy.call = proxy.call, nil
 		if !ok {
 			proxy.retryAt = s.now + callRetryDelay
 		}
@@ -387,7 +403,7 @@
 	for _, r := range s.ready[ref.Job] {
 		r.retryAt = 0
 	}
-	s.record(Decision{Event: "advice", Job: ref.Job, Task: job.TaskRef{StepRef: ref}, Worker: via, Reason: adviceReason(len(granted), len(workers), ok)})
+	s.recordAdvice(call, ref, via, len(granted), len(workers), ok)
 	if !ok {
 		a.retryAt = s.now + callRetryDelay
 		return
@@ -406,3 +422,19 @@
 		a.tickets[t.Worker] = ticket{t.Value, s.now + validity - ticketMargin}
 	}
 }
+
+// recordAdvice records the result of a call. call is nil if the proxy was removed meanwhile.
+func (s *Scheduler) recordAdvice(call *advisorCall, ref job.StepRef, via string, granted, asked int, ok bool) {
+	d := Decision{Event: "advice", Job: ref.Job, Task: job.TaskRef{StepRef: ref}, Worker: via, Reason: "no answer"}
+	if ok {
+		d.Reason = fmt.Sprintf("%d of %d workers granted", granted, asked)
+	}
+	if call != nil {
+		d.Queued, d.Took = call.sentAt-call.queuedAt, s.now-call.sentAt
+		if call.isRenewal {
+			d.Reason += ", renewal"
+		}
+		d.Reason += ", job was " + call.latenessWhenSent.String()
+	}
+	s.record(d)
+}
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -17,15 +17,17 @@
 	s := New(Settings{}, newCluster(1, faults{}).state, func(Decision) {})
 	s.SetAdvisorProxies([]string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m"})
 	for i := range 20 {
-		s.queuedCalls = append(s.queuedCalls, &advisorCall{queue: "gangs", priority: 1, deadlineMillis: int64(i), duration: 800 * time.Millisecond})
+		s.queuedCalls = append(s.queuedCalls, &advisorCall{queue: "gangs", urgency: urgency{priority: 1, deadlineMillis: int64(i)}, duration: 800 * time.Millisecond})
 	}
 	for i := range 6 {
-		s.queuedCalls = append(s.queuedCalls, &advisorCall{queue: "batches", priority: 2, deadlineMillis: int64(i), duration: 150 * time.Millisecond})
+		s.queuedCalls = append(s.queuedCalls, &advisorCall{queue: "batches", urgency: urgency{priority: 2, deadlineMillis: int64(i)}, duration: 150 * time.Millisecond})
 	}
 	s.sendQueuedCalls()
 	sent := map[string]int{}
 	for _, proxy := range s.proxies {
-		sent[proxy.queue]++
+		if proxy.call != nil {
+			sent[proxy.call.queue]++
+		}
 	}
 	c.Assert(sent["gangs"], qt.Equals, 7)
 	c.Assert(sent["batches"] > 0, qt.IsTrue, qt.Commentf("%v", sent))
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -80,9 +80,9 @@
 	k, r, _ := newWaitingGang(t)
 	s := k.sched
 	r.releasedMillis, r.deadlineMillis, r.remainingMillis = s.wallMillis, s.wallMillis+10_000, 5_000
-	c.Assert(s.latenessRank(r), qt.Equals, 0)
+	c.Assert(r.latenessAt(s.wallMillis), qt.Equals, inTime)
 	s.wallMillis = r.deadlineMillis - 5_500
-	c.Assert(s.latenessRank(r), qt.Equals, 1)
+	c.Assert(r.latenessAt(s.wallMillis), qt.Equals, late)
 	s.wallMillis = r.deadlineMillis + 2*10_000 + 1
-	c.Assert(s.latenessRank(r), qt.Equals, 2)
+	c.Assert(r.latenessAt(s.wallMillis), qt.Equals, worthless)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,29 +9,11 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// adviceReason returns the reason text of the decision about an answer of the advisor.
-func adviceReason(granted, asked int, ok bool) string {
-	if !ok {
-		return "no answer"
-	}
-	return fmt.Sprintf("%d of %d workers granted", granted, asked)
-}
-
 // placementRetryDelay is how long a step that found no capacity waits before it is tried again.
 // Every run that ends frees capacity and triggers a pass, and most of these attempts would fail
 // if the step took part in each.
 const placementRetryDelay = 25 * time.Millisecond
 
-const (
-	// worthlessFactor times its objective is the time after which the result of a job is worth
-	// nothing to its caller.
-	worthlessFactor = 3
-	// estimateFactor times the estimate of the remaining work is the time that a job needs to be
-	// expected to meet its deadline. Estimates are off by half or more, so most jobs that start
-	// with less time left are late.
-	estimateFactor = 1.2
-)
-
 // readyStep is a step whose dependencies are done, with tasks that may start now.
 type readyStep struct {
 	job     *job.Job
@@ -39,10 +21,7 @@
 	step    *job.Step
 	state   *job.StepState // nil before the first claim
 	waiting []uint16       // indexes of the tasks to place
-	// releasedMillis is the Unix time in milliseconds at which the job was accepted or its
-	// occurrence was due to start, whichever is later; deadlineMillis is when it should be done.
-	releasedMillis, deadlineMillis int64
-	remainingMillis                int64 // estimated duration of the critical path from this step on
+	urgency
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
 	// retryAt is when the step is tried again after it found too little capacity.
@@ -78,8 +57,7 @@
 	}
 }
 
-// readySteps returns the ready steps in the order in which they are placed: by lateness, priority
-// and deadline.
+// readySteps returns the ready steps in the order in which they are placed, the most urgent first.
 func (s *Scheduler) readySteps() []*readyStep {
 	for id := range s.staleJobs {
 		s.refreshReady(id)
@@ -90,26 +68,11 @@
 		out = append(out, steps...)
 	}
 	slices.SortFunc(out, func(a, b *readyStep) int {
-		return cmp.Or(s.latenessRank(a)-s.latenessRank(b), cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), cmp.Compare(a.deadlineMillis, b.deadlineMillis),
-			cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Step, b.ref.Step))
+		return cmp.Or(a.compareAt(b.urgency, s.wallMillis), cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Step, b.ref.Step))
 	})
 	return out
 }
 
-// latenessRank returns 0 for a step whose job can still meet its deadline, 1 if the job will
-// probably be late, and 2 if it is so late that its result is worth nothing to its caller. Steps
-// of a lower rank are placed first, whatever their priority.
-func (s *Scheduler) latenessRank(r *readyStep) int {
-	objective := r.deadlineMillis - r.releasedMillis
-	switch timeLeft := r.deadlineMillis - s.wallMillis; {
-	case timeLeft >= int64(estimateFactor*float64(r.remainingMillis)):
-		return 0
-	case timeLeft >= -(worthlessFactor-1)*objective:
-		return 1
-	}
-	return 2
-}
-
 // refreshReady rebuilds the list of a job's ready steps.
 func (s *Scheduler) refreshReady(id job.ID) {
 	j := s.openJob(id)
@@ -184,7 +147,7 @@
 		if len(r.waiting) == 0 || step.Gang && len(r.waiting) < step.Count {
 			continue
 		}
-		r.releasedMillis = max(j.AcceptedMillis, j.DueMillis(occurrence))
+		r.priority, r.releasedMillis = j.Queue.Priority, max(j.AcceptedMillis, j.DueMillis(occurrence))
 		r.deadlineMillis = r.releasedMillis + j.Queue.TargetMillis + int64(j.Queue.SlackFactor*float64(criticalPathMillis(&j.Spec, 0)))
 		r.remainingMillis = criticalPathMillis(&j.Spec, i)
 		out = append(out, r)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -99,7 +99,7 @@
 	s.ready, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan = 0, 0, 0
 	for _, proxy := range s.proxies {
-		proxy.isBusy = false
+		proxy.call = nil
 	}
 }
 
@@ -166,8 +166,18 @@
 // arrived could seem to have been requested after it; see claim.mustBeInReport.
 func (s *Scheduler) advanceClock(now time.Duration) { s.now = max(s.now, now) }
 
-// Load returns the number of jobs that have not ended and of known worker incarnations.
-func (s *Scheduler) Load() (openJobs, workers int) { return s.state.OpenCount(), len(s.workers) }
+// Load is the load of a leader.
+type Load struct {
+	OpenJobs    int // jobs that have not ended
+	Workers     int // known worker incarnations
+	QueuedCalls int // calls to the advisor that wait for a proxy
+	BusyProxies int // calls to the advisor in flight
+}
+
+// Load returns the current load.
+func (s *Scheduler) Load() Load {
+	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies()}
+}
 
 // Actions returns and clears the actions since the last call, with the proposal first.
 func (s *Scheduler) Actions() []Action {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -143,5 +143,6 @@
 	Worker        string
 	Reason        string
 	InputAge      time.Duration // age of the input on which the decision is based
+	Queued, Took  time.Duration // how long a call to the advisor waited for a proxy, and then for its answer
 	ConfigVersion int64         // version of the configuration, or 0
 }
--- /dev/null
+++ b/dispatch/urgency.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import "cmp"
+
+const (
+	// worthlessFactor times its objective is the time after which the result of a job is worth
+	// nothing to its caller.
+	worthlessFactor = 3
+	// estimateFactor times the estimate of the remaining work is the time that a job needs to be
+	// expected to meet its deadline. Estimates are off by half or more, so most jobs that start
+	// with less time left are late.
+	estimateFactor = 1.2
+)
+
+// urgency holds the properties of a step that decide in which order steps get capacity.
+type urgency struct {
+	priority int // priority of the queue
+	// releasedMillis is the Unix time in milliseconds at which the job was accepted or its
+	// occurrence was due to start, whichever is later; deadlineMillis is when it should be done.
+	releasedMillis, deadlineMillis int64
+	remainingMillis                int64 // estimated duration of the critical path from this step on
+}
+
+// lateness says whether a job can still meet its deadline.
+type lateness uint8
+
+const (
+	inTime    lateness = iota // expected to meet its deadline
+	late                      // will probably miss its deadline
+	worthless                 // so late that its result is worth nothing to its caller
+)
+
+// String returns the lateness as it appears in logs.
+func (l lateness) String() string { return [...]string{"in time", "late", "worthless"}[l] }
+
+// latenessAt returns the lateness at a Unix time in milliseconds.
+func (u urgency) latenessAt(wallMillis int64) lateness {
+	objective := u.deadlineMillis - u.releasedMillis
+	switch timeLeft := u.deadlineMillis - wallMillis; {
+	case timeLeft >= int64(estimateFactor*float64(u.remainingMillis)):
+		return inTime
+	case timeLeft >= -(worthlessFactor-1)*objective:
+		return late
+	}
+	return worthless
+}
+
+// compareAt orders steps at a Unix time in milliseconds: by lateness, priority and deadline. A
+// late step comes after all that can be in time, whatever its priority, since it would make
+// those late as well.
+func (u urgency) compareAt(other urgency, wallMillis int64) int {
+	return cmp.Or(cmp.Compare(u.latenessAt(wallMillis), other.latenessAt(wallMillis)), cmp.Compare(u.priority, other.priority),
+		cmp.Compare(u.deadlineMillis, other.deadlineMillis))
+}
