dispatch: calls to the advisor are sent in the order in which steps are placed

Cause: calls waited for a proxy by priority and deadline, whether the job could still be in time or not. Once calls need more time than the proxies have, the most overdue job is always first, and every job behind it becomes late as well (earliest deadline first under overload). Placement had an order by lateness, the queue of calls had one of its own.

Change: both use the same order, and a call counts its own duration as work that remains: without that, the calls sent were those whose answer came just too late.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -246,6 +246,7 @@
 		list = list[len(part):]
 		call := &advisorCall{ref: r.ref, queue: r.job.Queue.Name, isRenewal: isRenewal, urgency: r.urgency,
 			duration: callDuration(advisor, len(part)), queuedAt: s.now}
+		call.remainingMillis += call.duration.Milliseconds() // the step starts after the answer
 		for _, w := range part {
 			call.workers = append(call.workers, *w.info)
 			a.pending[w.info.Number] = true
@@ -318,15 +319,14 @@
 // millis converts milliseconds to a duration.
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// sendQueuedCalls sends the queued calls through free proxies, the most urgent first. No queue
+// sendQueuedCalls sends the queued calls through free proxies, in the order in which their steps are
+// placed, so that the advisor's time goes to jobs that can still be in time. No queue
 // uses more than maxQueueFraction of the proxies for long calls while calls of other queues wait.
 func (s *Scheduler) sendQueuedCalls() {
 	if len(s.queuedCalls) == 0 {
 		return
 	}
-	slices.SortStableFunc(s.queuedCalls, func(x, y *advisorCall) int {
-		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.deadlineMillis, y.deadlineMillis))
-	})
+	slices.SortStableFunc(s.queuedCalls, func(x, y *advisorCall) int { return x.compareAt(y.urgency, s.wallMillis) })
 	busy := map[string]int{}
 	for _, proxy := range s.proxies {
 		if proxy.call != nil {
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -72,3 +72,30 @@
 	c.Assert(a.openCalls, qt.Equals, 0)
 	c.Assert(a.pending, qt.HasLen, 0)
 }
+
+// Guards against an overload of the advisor that makes every job late, because the calls about the
+// most overdue jobs are sent first.
+func TestOverloadedAdvisorServesJobsThatCanBeInTime(t *testing.T) {
+	const arrivalInterval, duration = 150 * time.Millisecond, 30 * time.Second
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.adviceLatency = time.Second
+	k.setUp(40, true)
+	queue := job.Queue{Name: "drafts", Host: "h", Prefix: "/d/", Pool: "desk", MaxAttempts: 4, SlackFactor: 2, TargetMillis: 2000,
+		Advisor: &job.AdvisorConfig{DecisionMillis: 980, PerWorkerMillis: 1, TicketValidityMillis: 2000}}
+	k.state.Apply(job.Op{Config: &job.Config{Version: 2, Pools: []job.Pool{{Name: "desk"}}, Queues: []job.Queue{queue}}})
+	k.run(2 * time.Second)
+	for i := range int(duration / arrivalInterval) {
+		k.schedule(time.Duration(i)*arrivalInterval, func() { k.submit(job.ID(i+1), newStep(2, 1000, 500)) })
+	}
+	k.run(k.now + duration + 10*time.Second)
+	servedInTime := 0
+	k.state.Jobs(func(j *job.Job) {
+		if j.Outcome == job.Completed && j.EndedMillis <= j.AcceptedMillis+queue.TargetMillis+500*int64(queue.SlackFactor) {
+			servedInTime++
+		}
+	})
+	proxiesForLongCalls := len(k.sched.proxies) - min(proxiesForShortCalls, len(k.sched.proxies)/2)
+	servable := proxiesForLongCalls * int(duration/k.adviceLatency) // one call suffices for a job
+	c.Assert(servedInTime >= servable/2, qt.IsTrue, qt.Commentf("%d jobs in time, the advisor can serve %d", servedInTime, servable))
+}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -23,8 +23,10 @@
 	noLeader   bool                   // there is no leader now
 	workers    map[string]*fakeWorker // by address
 	faults     faults
-	violations []string // descriptions of broken rules
-	trace      []string // recorded decisions
+	// adviceLatency is how long the advisor takes for a call.
+	adviceLatency time.Duration
+	violations    []string // descriptions of broken rules
+	trace         []string // recorded decisions
 	// ackedDone holds the tasks with a done end that was acknowledged and is final, lastStart the
 	// time of the last start of each task.
 	ackedDone map[job.TaskRef]bool
@@ -63,7 +65,7 @@
 }
 
 func newCluster(seed uint64, f faults) *cluster {
-	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f,
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f, adviceLatency: 50 * time.Millisecond,
 		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{}}
 	c.electLeader()
 	c.schedule(0, c.scheduleTicks)
@@ -295,7 +297,7 @@
 // advise grants about two of three workers, and always one certain worker for each job.
 func (c *cluster) advise(a Advise) {
 	term, sched := c.term, c.sched
-	c.schedule(50*time.Millisecond, func() {
+	c.schedule(c.adviceLatency, func() {
 		if c.noLeader || c.term != term {
 			return
 		}
