dispatch: a late step does not stop runs of jobs that can be in time

Cause: of the class of the order of calls: placement ranks a late step behind all that can be in time, but preemption looked at priorities only, so a gang that was late already stopped runs of batches that were not, and these became late as well.

Change: a claim keeps the lateness that its step had when it was made; a step preempts only runs that are as late or later.

Test: TestLateGangDoesNotPreemptJobsInTime; before, the late gang stopped four runs.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -61,9 +61,12 @@
 	startMayArrive bool
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
-	isListed     bool
-	startedAt    time.Duration // when the claim was added
-	poolPriority poolPriority  // pool and priority under which its processors count in allocatedCPU
+	isListed  bool
+	startedAt time.Duration // when the claim was added
+	// latenessWhenPlaced is the lateness of its step when the claim was made; inTime if an earlier
+	// leader made it.
+	latenessWhenPlaced lateness
+	poolPriority       poolPriority // pool and priority under which its processors count in allocatedCPU
 }
 
 // mustBeInReport reports whether a report that was requested at a time must list the run or its
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -86,3 +86,48 @@
 	s.wallMillis = r.deadlineMillis + 2*10_000 + 1
 	c.Assert(r.latenessAt(s.wallMillis), qt.Equals, worthless)
 }
+
+// newGangBesideBatch returns newWaitingGang with every worker filled by a preemptible run of a less
+// urgent job that can be in time, and a gang that holds grants for four workers.
+func newGangBesideBatch(t *testing.T, validity time.Duration) (*cluster, *readyStep) {
+	k, r, a := newWaitingGang(t)
+	s := k.sched
+	queue := r.job.Queue
+	batches := job.Queue{Name: "batches", Host: "h", Prefix: "/b/", Pool: "desk", MaxAttempts: 4, Priority: 2, SlackFactor: 4, TargetMillis: 3000}
+	k.state.Apply(job.Op{Config: &job.Config{Version: 2, Pools: []job.Pool{{Name: "desk"}}, Queues: []job.Queue{queue, batches}}})
+	batch := newStep(20, 8000, 60_000)
+	batch.Checkpointing = true
+	k.state.Apply(job.Op{Submit: &job.Submit{ID: 9, Queue: "batches", Spec: job.Spec{Steps: []job.Step{batch}}, AcceptedMillis: k.wallMillis()}})
+	for n := uint32(1); n <= 20; n++ {
+		s.addClaim(job.TaskRef{StepRef: job.StepRef{Job: 9}, Index: uint16(n - 1)}, 1, s.workers[n], &batch, claimRunning)
+	}
+	for n := uint32(1); n <= 4; n++ {
+		a.addGrant(n, k.now+validity)
+	}
+	return k, r
+}
+
+// preemptions returns the number of runs that reserve has stopped for a step.
+func (k *cluster) preemptions(r *readyStep) int {
+	k.sched.reserve(r, k.sched.eligibleWorkers(r))
+	n := 0
+	for _, a := range k.sched.Actions() {
+		if _, ok := a.(Stop); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against stopping runs of jobs that can be in time for a gang that will be late anyway.
+func TestLateGangDoesNotPreemptJobsInTime(t *testing.T) {
+	c := qt.New(t)
+	k, r := newGangBesideBatch(t, 10*time.Second)
+	r.deadlineMillis = k.sched.wallMillis + r.remainingMillis/2
+	c.Assert(k.preemptions(r), qt.Equals, 0)
+
+	for _, claim := range k.sched.claims {
+		claim.latenessWhenPlaced = late
+	}
+	c.Assert(k.preemptions(r), qt.Equals, 4)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -403,6 +403,7 @@
 	ref := job.TaskRef{StepRef: r.ref, Index: index}
 	run, checkpoint := s.nextRun(r, index)
 	c := s.addClaim(ref, run, w, r.step, claimProposed)
+	c.latenessWhenPlaced = r.latenessAt(s.wallMillis)
 	if a := s.advice[r.ref]; a != nil {
 		c.ticket, _ = a.ticketFor(w.info.Number, s.now)
 	}
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -204,11 +204,15 @@
 // isPreemptible reports whether a run may be stopped for a step. The run must be confirmed as
 // running and have a less urgent priority, must run independently of others (not in a gang), must
 // end by itself (not be long-running or best-effort), and must either have checkpoints or be no
-// older than preemptMaxAge.
+// older than preemptMaxAge. A step that will be late does not stop a run of a job that can be in
+// time.
 func (s *Scheduler) isPreemptible(r *readyStep, c *claim) bool {
 	if c.step == nil || c.step.Gang || c.step.LongRunning || c.step.BestEffortCPU || c.phase != claimRunning {
 		return false
 	}
+	if c.latenessWhenPlaced < r.latenessAt(s.wallMillis) {
+		return false
+	}
 	if !c.step.Checkpointing && s.now-c.startedAt > preemptMaxAge {
 		return false
 	}
