dispatch: gangs reserve only with tickets that outlast the preemption

What callers saw: gangs with enough grants and capacity were not started; less urgent runs were stopped for them in vain.

Cause: a gang reserved capacity on every worker with a valid ticket and stopped runs there. A stop takes up to 0.4 s, and its end has to be reported and committed. Tickets that expired meanwhile left the gang without its workers.

Change: a preempting reservation counts only workers whose tickets are valid for the time of a preemption; renewals name all others. Both use the same duration.

Test: TestGangPreemptsOnlyWithTicketsThatOutlastIt; before, four runs were stopped.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -295,7 +295,7 @@
 	if total < len(r.waiting) {
 		return nil
 	}
-	return a.withoutValidTicket(list, s.now+callDuration(r.job.Queue.Advisor, len(list))+s.settings.StopTimeout)
+	return a.withoutValidTicket(list, s.now+callDuration(r.job.Queue.Advisor, len(list))+s.preemptionDuration())
 }
 
 // unaskedWorkers returns the workers about which the advisor has not been asked. For a step that
--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -131,3 +131,17 @@
 	}
 	c.Assert(k.preemptions(r), qt.Equals, 4)
 }
+
+// Guards against stopping runs for a gang whose tickets expire before the capacity is free.
+func TestGangPreemptsOnlyWithTicketsThatOutlastIt(t *testing.T) {
+	c := qt.New(t)
+	stopTimeout := newCluster(1, faults{}).settings().StopTimeout
+	k, r := newGangBesideBatch(t, stopTimeout)
+	c.Assert(k.preemptions(r), qt.Equals, 0)
+	k.sched.requestAdvice(r)
+	c.Assert(k.sched.queuedCalls, qt.HasLen, 1)
+	c.Assert(k.sched.queuedCalls[0].isRenewal, qt.IsTrue)
+
+	k, r = newGangBesideBatch(t, 2*stopTimeout)
+	c.Assert(k.preemptions(r), qt.Equals, 4)
+}
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -19,6 +19,9 @@
 	// waitingReservationTTL is the lifetime of a reservation that waits for running tasks to end
 	// without preempting them.
 	waitingReservationTTL = 4 * time.Second
+	// endReportMargin is added to the worker's stop timeout to get the time that a preemption
+	// takes: the end has to be reported and committed.
+	endReportMargin = 200 * time.Millisecond
 	// preemptMinEstimate is the least estimated duration of the tasks for which others are
 	// preempted. For shorter tasks, runs that end anyway free enough capacity as soon.
 	preemptMinEstimate = 2 * time.Second
@@ -84,7 +87,7 @@
 	if res != nil && !res.isWaiting {
 		return
 	}
-	if s.canReserve(r) && s.reserveCapacity(r, eligible, s.capacityAfterPreemption, false) {
+	if s.canReserve(r) && s.reserveCapacity(r, s.withLastingTicket(r, eligible), s.capacityAfterPreemption, false) {
 		if r.step.EstimateMillis >= preemptMinEstimate.Milliseconds() {
 			s.preempt(r)
 		}
@@ -95,6 +98,21 @@
 	}
 }
 
+// preemptionDuration returns the time from the stop of a run until its capacity can be used.
+func (s *Scheduler) preemptionDuration() time.Duration { return s.settings.StopTimeout + endReportMargin }
+
+// withLastingTicket returns the workers on which the step may still start after a preemption.
+func (s *Scheduler) withLastingTicket(r *readyStep, workers []*worker) []*worker {
+	if r.job.Queue.Advisor == nil {
+		return workers
+	}
+	a := s.adviceFor(r.ref)
+	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
+		_, valid := a.ticketFor(w.info.Number, s.now+s.preemptionDuration())
+		return !valid
+	})
+}
+
 // canReserve reports whether the reservations of a step's pool are within their limit. The first
 // reservation of a pool may be of any size.
 func (s *Scheduler) canReserve(r *readyStep) bool {
