dispatch: gangs of short tasks preempt as well

What callers saw: gangs with an estimate below 2 s were late or not run, although less urgent work filled their workers.

Cause: such a gang reserved capacity for 1.5 s as if it preempted, but stopped nothing, and lost its tickets while it waited. The capacity counted against the limit of all reservations meanwhile.

Change: a reservation always preempts.

Test: TestGangOfShortTasksPreempts; before, nothing was stopped.

--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -145,3 +145,12 @@
 	k, r = newGangBesideBatch(t, 2*stopTimeout)
 	c.Assert(k.preemptions(r), qt.Equals, 4)
 }
+
+// Guards against a gang of short tasks that reserves capacity, does not preempt the runs that take
+// it, and loses its tickets meanwhile.
+func TestGangOfShortTasksPreempts(t *testing.T) {
+	c := qt.New(t)
+	k, r := newGangBesideBatch(t, 10*time.Second)
+	r.step.EstimateMillis, r.remainingMillis = 500, 500
+	c.Assert(k.preemptions(r), qt.Equals, 4)
+}
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -22,9 +22,6 @@
 	// endReportMargin is added to the worker's stop timeout to get the time that a preemption
 	// takes: the end has to be reported and committed.
 	endReportMargin = 200 * time.Millisecond
-	// preemptMinEstimate is the least estimated duration of the tasks for which others are
-	// preempted. For shorter tasks, runs that end anyway free enough capacity as soon.
-	preemptMinEstimate = 2 * time.Second
 	// preemptMaxAge is the greatest age at which a run without checkpoints is preempted; an
 	// older one would lose too much work.
 	preemptMaxAge = 500 * time.Millisecond
@@ -88,9 +85,7 @@
 		return
 	}
 	if s.canReserve(r) && s.reserveCapacity(r, s.withLastingTicket(r, eligible), s.capacityAfterPreemption, false) {
-		if r.step.EstimateMillis >= preemptMinEstimate.Milliseconds() {
-			s.preempt(r)
-		}
+		s.preempt(r)
 		return
 	}
 	if res == nil && s.waitingReservations() < maxWaitingReservations {
