--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -94,7 +94,9 @@
 }
 
 // preemptionDuration returns the time from the stop of a run until its capacity can be used.
-func (s *Scheduler) preemptionDuration() time.Duration { return s.settings.StopTimeout + endReportMargin }
+func (s *Scheduler) preemptionDuration() time.Duration {
+	return s.settings.StopTimeout + endReportMargin
+}
 
 // withLastingTicket returns the workers on which the step may still start after a preemption.
 func (s *Scheduler) withLastingTicket(r *readyStep, workers []*worker) []*worker {
