dispatch: steps that ask at the same time choose different workers

Cause: all steps asked about the workers with the most free processors. At 80 urgent jobs a second and 70 ms for an answer, six of them name the same 20 workers, and the first that gets its answer fills them.

Change: among workers with the same number of slots, a single task's order is pseudo-random by job. Gangs still prefer workers with free capacity, where they preempt less.

Test: TestStepsThatAskAtTheSameTimeChooseDifferentWorkers; before, 20 of 20 workers were the same.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -220,11 +220,16 @@
 	return out
 }
 
-// selectToAsk returns the workers with the most capacity, as many as are expected to take the
-// step's waiting tasks if the fraction rate of them is granted.
+// selectToAsk returns the workers with the most slots, as many as are expected to take the step's
+// waiting tasks if the fraction rate of them is granted. Among workers with the same number of
+// slots, gangs prefer those on which they preempt the least. Other steps choose at random, since
+// steps that choose the same workers take them from each other before the answers arrive.
 func (s *Scheduler) selectToAsk(r *readyStep, candidates []workerSlots, rate float64) []*worker {
 	slices.SortStableFunc(candidates, func(x, y workerSlots) int {
-		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU))
+		if r.step.Gang {
+			return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU))
+		}
+		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(randomRank(r.ref.Job, x.w), randomRank(r.ref.Job, y.w)))
 	})
 	expected, need := 0.0, askedCapacityFactor*float64(len(r.waiting))
 	var out []*worker
@@ -238,6 +243,15 @@
 	return out
 }
 
+// randomRank returns a number for a job and a worker that is pseudo-random, so that the order of
+// the workers differs from job to job, and the same for each call (the finalizer of SplitMix64).
+func randomRank(id job.ID, w *worker) uint64 {
+	x := uint64(id) ^ uint64(w.info.Number)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // queueCalls queues calls about the workers, if any, and splits them equally among the calls.
 func (s *Scheduler) queueCalls(r *readyStep, a *advice, list []*worker, isRenewal bool) {
 	advisor := r.job.Queue.Advisor
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -158,3 +158,19 @@
 	}
 	c.Assert(k.workersAsked(r), qt.DeepEquals, free)
 }
+
+// Guards against steps that ask about the same workers at the same time, so that all but the first
+// find them taken when the answers arrive.
+func TestStepsThatAskAtTheSameTimeChooseDifferentWorkers(t *testing.T) {
+	c := qt.New(t)
+	k, first := newWaitingStep(100, 7, newStep(2, 2000, 1000))
+	second := k.addWaitingStep(8, newStep(2, 2000, 1000))
+	common := 0
+	asked := k.workersAsked(first)
+	for number := range k.workersAsked(second) {
+		if asked[number] {
+			common++
+		}
+	}
+	c.Assert(common <= len(asked)/2, qt.IsTrue, qt.Commentf("%d of %d workers are the same", common, len(asked)))
+}
