dispatch: a failed call to the advisor is repeated at once through another member

What callers saw: while entry VMs restart, the most urgent jobs waited 0.3 s or more for a call that had failed after a few ms, and some three times in a row, through members that were all down.

Cause: after a failed call the step waited as long as the proxy. That the member is down says nothing about the step.

Change: only the proxy waits, 0.3 s at first and twice as long after each further failure, up to 2.4 s.

Tests: TestFailedCallIsRepeatedAtOnceThroughAnotherProxy, TestRetryDelayOfFailingProxyGrows; before, no proxy was in use, and the delay stayed at 0.3 s.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -46,8 +46,10 @@
 	proxiesForShortCalls = 3
 	// callTimeoutMargin is added to the expected duration of a call to get its timeout.
 	callTimeoutMargin = 400 * time.Millisecond
-	// callRetryDelay is how long a step or a proxy waits after a failed call before the next one.
-	callRetryDelay = 300 * time.Millisecond
+	// proxyRetryMin is how long a proxy gets no call after one has failed. It doubles with each
+	// further failure up to proxyRetryMax, since a member that is down fails every call.
+	proxyRetryMin = 300 * time.Millisecond
+	proxyRetryMax = 2400 * time.Millisecond
 )
 
 // ticket is the advisor's permission to run a step on one worker incarnation.
@@ -64,13 +66,13 @@
 	denied    map[uint32]bool // workers that the advisor has not granted
 	pending   map[uint32]bool // workers named in queued calls and in calls in flight
 	openCalls int             // number of queued calls and calls in flight
-	retryAt   time.Duration   // no new calls before this time
 }
 
 // advisorProxy is a member through which the advisor is called, one call at a time.
 type advisorProxy struct {
-	call    *advisorCall  // in flight, nil if there is none
-	retryAt time.Duration // no new calls before this time
+	call        *advisorCall  // in flight, nil if there is none
+	failedCalls int           // consecutive failed calls
+	retryAt     time.Duration // no new calls before this time
 }
 
 // advisorCall is a call that waits for a free proxy or is in flight.
@@ -147,7 +149,7 @@
 // that it has not asked about.
 func (s *Scheduler) requestAdvice(r *readyStep) {
 	a := s.adviceFor(r.ref)
-	if a.openCalls > 0 || s.now < a.retryAt {
+	if a.openCalls > 0 {
 		return
 	}
 	var list []*worker
@@ -408,8 +410,11 @@
 	var call *advisorCall
 	if proxy := s.proxies[via]; proxy != nil {
 		call, proxy.call = proxy.call, nil
-		if !ok {
-			proxy.retryAt = s.now + callRetryDelay
+		if ok {
+			proxy.failedCalls = 0
+		} else {
+			proxy.retryAt = s.now + min(proxyRetryMin<<min(proxy.failedCalls, 4), proxyRetryMax)
+			proxy.failedCalls++
 		}
 	}
 	a := s.advice[ref]
@@ -423,7 +428,6 @@
 	}
 	s.recordAdvice(call, ref, via, len(granted), len(workers), ok)
 	if !ok {
-		a.retryAt = s.now + callRetryDelay
 		return
 	}
 	if j := s.state.Job(ref.Job); j != nil && len(a.tickets)+len(a.denied) == 0 {
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +175,54 @@
 	}
 	c.Assert(common <= len(asked)/2, qt.IsTrue, qt.Commentf("%d of %d workers are the same", common, len(asked)))
 }
+
+// failCall fails the call that a proxy has in flight.
+func (k *cluster) failCall(via string) {
+	call := k.sched.proxies[via].call
+	k.sched.Advised(k.now, via, call.ref, call.workers, nil, 0, false)
+}
+
+// proxiesInUse returns the names of the proxies with a call in flight, sorted.
+func (k *cluster) proxiesInUse() []string {
+	var names []string
+	for name, proxy := range k.sched.proxies {
+		if proxy.call != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Guards against urgent jobs that are late because the member that called the advisor for them is
+// down, while other members are free.
+func TestFailedCallIsRepeatedAtOnceThroughAnotherProxy(t *testing.T) {
+	c := qt.New(t)
+	k, r := newWaitingStep(20, 7, newStep(2, 2000, 1000))
+	k.sched.requestAdvice(r)
+	k.sched.sendQueuedCalls()
+	c.Assert(k.proxiesInUse(), qt.DeepEquals, []string{"a"})
+	k.failCall("a")
+	k.sched.requestAdvice(r)
+	k.sched.sendQueuedCalls()
+	c.Assert(k.proxiesInUse(), qt.DeepEquals, []string{"b"})
+}
+
+// Guards against calls through a member that is down at a constant rate.
+func TestRetryDelayOfFailingProxyGrows(t *testing.T) {
+	c := qt.New(t)
+	k, r := newWaitingStep(20, 7, newStep(2, 2000, 1000))
+	k.sched.SetAdvisorProxies([]string{"a"})
+	previous := time.Duration(0)
+	for range 4 {
+		k.sched.requestAdvice(r)
+		k.sched.sendQueuedCalls()
+		c.Assert(k.proxiesInUse(), qt.DeepEquals, []string{"a"})
+		k.failCall("a")
+		delay := k.sched.proxies["a"].retryAt - k.now
+		c.Assert(delay > previous, qt.IsTrue, qt.Commentf("%v after %v", delay, previous))
+		c.Assert(delay <= proxyRetryMax, qt.IsTrue)
+		previous, k.now = delay, k.now+delay
+		k.sched.advanceClock(k.now)
+	}
+}
