partition: a worker whose lease has ended is synced at once

What callers saw: TestSilentConnections failed once beside load, with 3.47 s until the next task started on a worker whose connections had gone silent; the limit is 2.5 s.

Cause: a sync on a silent connection fails after 1.5 s and is sent again on a new one. If the answer to that arrives after the lease of 2 s has ended, as on a busy machine, it is discarded, since the worker counts as lost by then. No other sync was sent until the worker announced itself, which it does 1 s after the last sync that it received: 1.5 + 0.1 + 0.5 + 1 s and more.

Change: the owner sends another sync when it marks a worker as lost. A worker that stays silent gets one sync more.

Test: TestLostWorkerIsSyncedAtOnce; before, the worker stayed "lost" after its answer. The seen failure itself was not reproduced: the cause is inferred from the code and the test, and the times match.

--- a/partition/worker.go
+++ b/partition/worker.go
@@ -212,7 +212,8 @@
 }
 
 // markWorkerLost marks a worker whose lease has certainly ended as lost. It discards the
-// outstanding sync, since an answer to it would show an older state.
+// outstanding sync, since an answer to it would show an older state, and sends another. A worker
+// that hears of syncs announces itself only 1 s later.
 func (o *owner) markWorkerLost(now time.Duration, w *workerState) {
 	w.synced, w.syncing, w.lost = false, false, true
 	w.token, w.tokenAt = 0, 0
@@ -220,6 +221,7 @@
 	w.lostAt = now
 	o.removeFromScheduler(now, w)
 	o.markAttemptsLost(now, w, "its worker was lost")
+	o.startSync(now, w)
 }
 
 // markAttemptsLost marks all attempts of a worker as lost.
