--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -111,6 +111,7 @@
 	cl           *cluster
 	ledger       *requestLedger
 	version      uint64
+	changedAt    time.Time // when the change to version was accepted
 	requestCount int
 }
 
@@ -118,6 +119,7 @@
 func (d *durabilityChecker) add(n int) {
 	d.cl.c.Helper()
 	d.version = d.cl.apply(tables(fmt.Sprintf("route-%d", d.requestCount)), d.version)
+	d.changedAt = time.Now()
 	caller := d.cl.caller(0)
 	for range n {
 		d.requestCount++
@@ -141,9 +143,7 @@
 			continue
 		}
 		serving++
-		t, err := v.admin.Tables(timeoutContext(c, 5*time.Second))
-		c.Assert(err, qt.IsNil)
-		c.Check(t.Version, qt.Equals, d.version, qt.Commentf("%s", v.name))
+		d.awaitInForce(v)
 	}
 	c.Check(serving >= 2, qt.IsTrue, qt.Commentf("%d VMs may serve", serving))
 	caller := d.cl.caller(0)
@@ -154,6 +154,22 @@
 	}
 }
 
+// awaitInForce waits until a VM reads the newest version, which it must at propagationLimit after
+// the change at the latest, and checks that the version never goes back meanwhile.
+func (d *durabilityChecker) awaitInForce(v *vm) {
+	c := d.cl.c
+	c.Helper()
+	last := uint64(0)
+	remaining := max(propagationLimit-time.Since(d.changedAt), 0)
+	waitFor(c, fmt.Sprintf("%s reads version %d of the tables", v.name, d.version), remaining, func() bool {
+		t, err := v.admin.Tables(timeoutContext(c, 5*time.Second))
+		c.Assert(err, qt.IsNil)
+		c.Assert(t.Version >= last, qt.IsTrue, qt.Commentf("%s: version %d after %d", v.name, t.Version, last))
+		last = t.Version
+		return t.Version == d.version
+	})
+}
+
 // restoreOldCopy restarts a VM with an old copy of its data folder that lacks later changes. The
 // VM must detect that it has lost acknowledged state, and must not vote.
 func (d *durabilityChecker) restoreOldCopy(v *vm) {
