server: a VM that lost its disk is a replica in the status only once its replacement votes

What operators saw: status listed a VM as a replica of a partition although its disk, and with it its vote, was gone. A second VM that is taken away on that ground stops the partition for good.

Cause: replicas were the names of the group's voters. The former identity of a VM has the same name as its replacement, and stays a voter until that is promoted.

--- a/api/operator.go
+++ b/api/operator.go
@@ -110,13 +110,15 @@
 
 // PartitionStatus is the status of one partition in the response of GET /v1/status.
 type PartitionStatus struct {
-	Partition string   `json:"partition"`
-	Leader    string   `json:"leader"`
-	Epoch     uint64   `json:"epoch"`
-	Replicas  []string `json:"replicas"`
-	Workers   int      `json:"workers"`
-	Queued    int      `json:"queued"`
-	Running   int      `json:"running"`
+	Partition string `json:"partition"`
+	Leader    string `json:"leader"`
+	Epoch     uint64 `json:"epoch"`
+	// Replicas are the VMs that vote in the partition's group. A VM that lost its disk is listed
+	// again once its replacement votes.
+	Replicas []string `json:"replicas"`
+	Workers  int      `json:"workers"`
+	Queued   int      `json:"queued"`
+	Running  int      `json:"running"`
 }
 
 // StatusResponse is the response body of GET /v1/status.
--- a/server/partition_replica.go
+++ b/server/partition_replica.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/control"
 	"github.com/oleanderchute/oleanderchute/partition"
 	"github.com/oleanderchute/oleanderchute/raft"
 	"github.com/oleanderchute/oleanderchute/replica"
@@ -177,8 +179,18 @@
 		Partition: r.name, Leader: replica.VMName(raftStatus.Leader), Epoch: raftStatus.Term,
 		Workers: stats.Scheduler.Workers, Queued: stats.Scheduler.Queued, Running: stats.Scheduler.Running,
 	}
-	for _, id := range raftStatus.Membership.Voters {
-		status.Replicas = append(status.Replicas, replica.VMName(id))
-	}
+	status.Replicas = vmsWithIdentities(r.server.view.Load().vms, raftStatus.Membership.Voters)
 	return status
 }
+
+// vmsWithIdentities returns the names of the VMs whose current identity is in a list. A VM that has
+// lost its disk has another identity than the member of the group that it was.
+func vmsWithIdentities(vms []control.VM, ids []raft.NodeID) []string {
+	var names []string
+	for _, vm := range vms {
+		if slices.Contains(ids, raft.NodeID(vm.NodeID)) {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
