--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -82,8 +82,8 @@
 	workers          []job.Worker
 	isRenewal        bool          // names only workers that were granted before
 	duration         time.Duration // expected duration
-	urgency                        // of the step
-	queuedAt, sentAt time.Duration
+	urgency                        // of the step, with the duration of the call as remaining work
+	queuedAt, sentAt time.Duration // on the leader's clock
 	latenessWhenSent lateness
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -21,7 +21,7 @@
 	step    *job.Step
 	state   *job.StepState // nil before the first claim
 	waiting []uint16       // indexes of the tasks to place
-	urgency
+	urgency                // order in which it is placed
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
 	// retryAt is when the step is tried again after it found too little capacity.
@@ -234,14 +234,23 @@
 // eligibleWorkers returns the workers that may run the step now: those with its label and, if its
 // queue has an advisor, a valid ticket.
 func (s *Scheduler) eligibleWorkers(r *readyStep) []*worker {
+	return s.withTicketAt(r, s.grantedWorkers(r), s.now)
+}
+
+// withTicketAt returns the workers for which the step has a ticket that is valid at a time, or all
+// of them if its queue has no advisor.
+func (s *Scheduler) withTicketAt(r *readyStep, workers []*worker, at time.Duration) []*worker {
 	if r.job.Queue.Advisor == nil {
-		return s.labeledWorkers(r)
+		return workers
 	}
 	a := s.adviceFor(r.ref)
-	return slices.DeleteFunc(s.grantedWorkers(r), func(w *worker) bool {
-		_, valid := a.ticketFor(w.info.Number, s.now)
-		return !valid
-	})
+	var out []*worker
+	for _, w := range workers {
+		if _, valid := a.ticketFor(w.info.Number, at); valid {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // grantedWorkers returns the workers that the step may use now or once their tickets are renewed.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -84,7 +84,7 @@
 	if res != nil && !res.isWaiting {
 		return
 	}
-	if s.canReserve(r) && s.reserveCapacity(r, s.withLastingTicket(r, eligible), s.capacityAfterPreemption, false) {
+	if s.canReserve(r) && s.reserveCapacity(r, s.withTicketAt(r, eligible, s.now+s.preemptionDuration()), s.capacityAfterPreemption, false) {
 		s.preempt(r)
 		return
 	}
@@ -98,18 +98,6 @@
 	return s.settings.StopTimeout + endReportMargin
 }
 
-// withLastingTicket returns the workers on which the step may still start after a preemption.
-func (s *Scheduler) withLastingTicket(r *readyStep, workers []*worker) []*worker {
-	if r.job.Queue.Advisor == nil {
-		return workers
-	}
-	a := s.adviceFor(r.ref)
-	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
-		_, valid := a.ticketFor(w.info.Number, s.now+s.preemptionDuration())
-		return !valid
-	})
-}
-
 // canReserve reports whether the reservations of a step's pool are within their limit. The first
 // reservation of a pool may be of any size.
 func (s *Scheduler) canReserve(r *readyStep) bool {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -166,14 +166,6 @@
 // arrived could seem to have been requested after it; see claim.mustBeInReport.
 func (s *Scheduler) advanceClock(now time.Duration) { s.now = max(s.now, now) }
 
-// Load is the load of a leader.
-type Load struct {
-	OpenJobs    int // jobs that have not ended
-	Workers     int // known worker incarnations
-	QueuedCalls int // calls to the advisor that wait for a proxy
-	BusyProxies int // calls to the advisor in flight
-}
-
 // Load returns the current load.
 func (s *Scheduler) Load() Load {
 	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies()}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -146,3 +146,11 @@
 	Queued, Took  time.Duration // how long a call to the advisor waited for a proxy, and then for its answer
 	ConfigVersion int64         // version of the configuration, or 0
 }
+
+// Load is the load of a leader.
+type Load struct {
+	OpenJobs    int // jobs that have not ended
+	Workers     int // known worker incarnations
+	QueuedCalls int // calls to the advisor that wait for a proxy
+	BusyProxies int // calls to the advisor in flight
+}
