partition, server: log when a worker gets no new work, and when it does again

Evidence for TestSilentConnections: the logs of the daemons did not say when a worker whose connections had gone silent could get work again, nor why not. No change of behavior; partition and server tests pass.

--- a/partition/types.go
+++ b/partition/types.go
@@ -200,6 +200,16 @@
 	Epoch  uint64 // the higher epoch
 }
 
+// WorkerAvailability reports for the log that a worker may get new work again, or may not any more.
+type WorkerAvailability struct {
+	Worker    string
+	Available bool
+	Reason    string        // why it may not, empty if it may
+	ReportAge time.Duration // time since its newest report; 0 if it has not reported since it was lost
+}
+
+func (WorkerAvailability) isAction() {}
+
 func (Propose) isAction()      {}
 func (SendSync) isAction()     {}
 func (SendDispatch) isAction() {}
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -139,7 +139,10 @@
 	}
 	if !w.inScheduler || d != w.description {
 		w.description, w.inScheduler = d, true
-		w.placeable = true
+		if !w.placeable {
+			w.placeable = true
+			o.emit(WorkerAvailability{Worker: w.name, Available: true, ReportAge: w.reportAge(now)})
+		}
 		o.sched.UpsertWorker(now, d)
 		o.decisionDue = true
 	}
@@ -157,20 +160,49 @@
 		w.placeable = false
 		return
 	}
-	placeable := w.synced && !w.failing && !w.leaving && !w.hasUnallocatedTasks && !w.isSyncOverdue(now)
+	placeable := o.unavailableReason(now, w) == ""
 	if placeable == w.placeable {
 		return
 	}
 	w.placeable = placeable
+	o.emit(WorkerAvailability{Worker: w.name, Available: placeable, Reason: o.unavailableReason(now, w), ReportAge: w.reportAge(now)})
 	o.sched.SetPlaceable(now, w.name, placeable)
 	o.decisionDue = o.decisionDue || placeable
 }
 
+// unavailableReason returns why a worker may get no new work, or an empty string.
+func (o *owner) unavailableReason(now time.Duration, w *workerState) string {
+	switch {
+	case !w.synced:
+		return "lease ended"
+	case w.failing:
+		return "sync failed"
+	case w.leaving:
+		return "leaving"
+	case w.hasUnallocatedTasks:
+		return "runs tasks without an allocation"
+	case w.isSyncOverdue(now):
+		return "sync overdue"
+	}
+	return ""
+}
+
+// reportAge returns the time since the newest report of a worker, 0 if there is none.
+func (w *workerState) reportAge(now time.Duration) time.Duration {
+	if w.tokenAt == 0 {
+		return 0
+	}
+	return now - w.tokenAt
+}
+
 // removeFromScheduler removes a worker and its allocations from the scheduler.
 func (o *owner) removeFromScheduler(now time.Duration, w *workerState) {
 	if w.inScheduler {
 		o.sched.RemoveWorker(now, w.name)
 	}
+	if w.placeable {
+		o.emit(WorkerAvailability{Worker: w.name, Reason: "removed", ReportAge: w.reportAge(now)})
+	}
 	w.inScheduler, w.placeable = false, false
 	for _, a := range w.attempts {
 		a.allocated = false
--- a/server/partition_replica.go
+++ b/server/partition_replica.go
@@ -139,6 +139,8 @@
 			r.server.workers.sendCommand(r, "/v1/revoke", a.Worker, a.URL, a.Command, true)
 		case partition.SendStop:
 			r.server.workers.sendCommand(r, "/v1/stop", a.Worker, a.URL, a.Command, false)
+		case partition.WorkerAvailability:
+			r.logAvailability(a)
 		case partition.OwnershipDisputed:
 			r.server.log.Warn("a worker has seen a higher epoch; stepping down", zap.String("partition", r.name), zap.Uint64("epoch", r.epoch))
 			r.group.Node.StepDown()
@@ -146,6 +148,15 @@
 	}
 }
 
+func (r *partitionReplica) logAvailability(a partition.WorkerAvailability) {
+	message := "worker gets no new work"
+	if a.Available {
+		message = "worker gets new work again"
+	}
+	r.server.log.Info(message, zap.String("partition", r.name), zap.String("worker", a.Worker), zap.String("reason", a.Reason),
+		zap.Int64("report_age_ms", a.ReportAge.Milliseconds()))
+}
+
 // propose appends a batch to the log if the term is still the epoch of the batch. The log of a
 // later term may contain records that the batch does not take into account. If the batch is
 // not appended, the partition gets ProposeFailed.
