--- a/partition/worker.go
+++ b/partition/worker.go
@@ -174,7 +174,7 @@
 func (o *owner) unavailableReason(now time.Duration, w *workerState) string {
 	switch {
 	case !w.synced:
-		return "lease ended"
+		return "no sync since its lease ended"
 	case w.failing:
 		return "sync failed"
 	case w.leaving:
@@ -195,13 +195,13 @@
 	return now - w.tokenAt
 }
 
-// removeFromScheduler removes a worker and its allocations from the scheduler.
-func (o *owner) removeFromScheduler(now time.Duration, w *workerState) {
+// removeFromScheduler removes a worker and its allocations from the scheduler. reason is for the log.
+func (o *owner) removeFromScheduler(now time.Duration, w *workerState, reason string) {
 	if w.inScheduler {
 		o.sched.RemoveWorker(now, w.name)
 	}
 	if w.placeable {
-		o.emit(WorkerAvailability{Worker: w.name, Reason: "removed", ReportAge: w.reportAge(now)})
+		o.emit(WorkerAvailability{Worker: w.name, Reason: reason, ReportAge: w.reportAge(now)})
 	}
 	w.inScheduler, w.placeable = false, false
 	for _, a := range w.attempts {
@@ -218,7 +218,7 @@
 			w.superseded = w.superseded[1:]
 		}
 	}
-	o.removeFromScheduler(now, w)
+	o.removeFromScheduler(now, w, "worker restarted")
 	w.incarnation = incarnation
 	w.token, w.tokenAt = 0, 0
 	w.acks, w.acksSent = nil, 0
@@ -247,11 +247,11 @@
 // outstanding sync, since an answer to it would show an older state, and sends another. A worker
 // that hears of syncs announces itself only 1 s later.
 func (o *owner) markWorkerLost(now time.Duration, w *workerState) {
+	o.removeFromScheduler(now, w, "lease ended")
 	w.synced, w.syncing, w.lost = false, false, true
 	w.token, w.tokenAt = 0, 0
 	w.acks, w.acksSent = nil, 0
 	w.lostAt = now
-	o.removeFromScheduler(now, w)
 	o.markAttemptsLost(now, w, "its worker was lost")
 	o.startSync(now, w)
 }
