--- a/partition/types.go
+++ b/partition/types.go
@@ -203,7 +203,6 @@
 // WorkerAvailability reports for the log that a worker may get new work again, or may not any more.
 type WorkerAvailability struct {
 	Worker    string
-	Available bool
 	Reason    string        // why it may not, empty if it may
 	ReportAge time.Duration // time since its newest report; 0 if it has not reported since it was lost
 }
--- a/partition/worker.go
+++ b/partition/worker.go
@@ -139,10 +139,7 @@
 	}
 	if !w.inScheduler || d != w.description {
 		w.description, w.inScheduler = d, true
-		if !w.placeable {
-			w.placeable = true
-			o.emit(WorkerAvailability{Worker: w.name, Available: true, ReportAge: w.reportAge(now)})
-		}
+		o.setPlaceable(now, w, "")
 		o.sched.UpsertWorker(now, d)
 		o.decisionDue = true
 	}
@@ -160,14 +157,23 @@
 		w.placeable = false
 		return
 	}
-	placeable := o.unavailableReason(now, w) == ""
-	if placeable == w.placeable {
+	if !o.setPlaceable(now, w, o.unavailableReason(now, w)) {
 		return
 	}
+	o.sched.SetPlaceable(now, w.name, w.placeable)
+	o.decisionDue = o.decisionDue || w.placeable
+}
+
+// setPlaceable records whether a worker may get new work, which it may if reason is empty. It
+// reports whether that has changed.
+func (o *owner) setPlaceable(now time.Duration, w *workerState, reason string) bool {
+	placeable := reason == ""
+	if placeable == w.placeable {
+		return false
+	}
 	w.placeable = placeable
-	o.emit(WorkerAvailability{Worker: w.name, Available: placeable, Reason: o.unavailableReason(now, w), ReportAge: w.reportAge(now)})
-	o.sched.SetPlaceable(now, w.name, placeable)
-	o.decisionDue = o.decisionDue || placeable
+	o.emit(WorkerAvailability{Worker: w.name, Reason: reason, ReportAge: w.reportAge(now)})
+	return true
 }
 
 // unavailableReason returns why a worker may get no new work, or an empty string.
@@ -200,10 +206,8 @@
 	if w.inScheduler {
 		o.sched.RemoveWorker(now, w.name)
 	}
-	if w.placeable {
-		o.emit(WorkerAvailability{Worker: w.name, Reason: reason, ReportAge: w.reportAge(now)})
-	}
-	w.inScheduler, w.placeable = false, false
+	o.setPlaceable(now, w, reason)
+	w.inScheduler = false
 	for _, a := range w.attempts {
 		a.allocated = false
 	}
--- a/server/partition_replica.go
+++ b/server/partition_replica.go
@@ -150,7 +150,7 @@
 
 func (r *partitionReplica) logAvailability(a partition.WorkerAvailability) {
 	message := "worker gets no new work"
-	if a.Available {
+	if a.Reason == "" {
 		message = "worker gets new work again"
 	}
 	r.server.log.Info(message, zap.String("partition", r.name), zap.String("worker", a.Worker), zap.String("reason", a.Reason),
