raft, replica, storage: heartbeats do not wait for a slow disk; a full disk hands over and serves again

Cause: all messages waited until the outstanding Ready was synced, so a sync longer than the election timeout (0.4 s in a cell) ended the leadership of every group of the process at the same moment. And a write that found the disk full stopped the replica until its process was started again.

Change: while a save takes over 50 ms, the leader sends heartbeats without entries and a follower responds to them; both depend on persisted state only. A leader whose save takes over 0.8 s, or whose disk is full or fails, asks the voter with the most entries to start an election. A store that found the disk full truncates the torn record and takes the same Save again; the group repeats it every 250 ms and acknowledges nothing before.

The test that a full disk is a permanent failure was wrong: nothing was stored, so nothing is uncertain. Failed sync and I/O errors stay permanent.

--- a/raft/node.go
+++ b/raft/node.go
@@ -39,6 +39,9 @@
 	leaderSentAtTerm uint64
 	confirmedAt      time.Duration
 	confirmedCommit  uint64
+	// respondedDuringSave is the newest SentAt of the leader that MessagesDuringSave has
+	// responded to.
+	respondedDuringSave time.Duration
 
 	// Leader state.
 	progress         map[NodeID]*progress
@@ -270,6 +273,40 @@
 	}
 }
 
+// HandOver makes a leader a follower immediately and returns the message that asks the voter
+// with the most entries, among those in contact, to start an election. Unlike
+// TransferLeadership it does not wait until that voter holds the whole log, so entries that
+// are not committed may be lost. It is for a leader that cannot write its own log. On any
+// other node it does nothing.
+func (n *Node) HandOver(now time.Duration) []Message {
+	n.advanceTime(now)
+	if n.role != RoleLeader {
+		return nil
+	}
+	var target NodeID
+	for _, id := range n.membership.Voters {
+		p := n.progress[id]
+		if p == nil || n.now-p.lastContact() >= n.cfg.ElectionTimeout {
+			continue
+		}
+		if target == "" || p.match > n.progress[target].match {
+			target = id
+		}
+	}
+	n.leaseReleased = true
+	isPersisted := n.hardState.Term == n.persistedHardState.Term
+	n.becomeFollower(n.hardState.Term, "")
+	if target == "" || !isPersisted {
+		return nil
+	}
+	queued := n.messages
+	n.messages = nil
+	n.send(Message{Kind: MsgTimeoutNow, To: target})
+	out := n.messages
+	n.messages = queued
+	return out
+}
+
 // SetStorageFailed stops the node until the process restarts. The node steps down, drops
 // its unsent messages, and from then on ignores messages and returns no Ready. The
 // application calls it when a write or sync has failed.
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -24,6 +24,52 @@
 	return rd, true
 }
 
+// MessagesDuringSave returns the messages that may be sent before the outstanding Ready is
+// saved: a due heartbeat round of the leader, or a follower's response to the newest
+// heartbeat. They depend only on persisted state and acknowledge only applied entries.
+// Without them a sync that takes longer than the election timeout would end the leadership.
+func (n *Node) MessagesDuringSave() []Message {
+	if n.hardState.Term != n.persistedHardState.Term || n.hardState.StartCount != n.persistedHardState.StartCount {
+		return nil
+	}
+	queued := n.messages
+	n.messages = nil
+	switch n.role {
+	case RoleLeader:
+		n.sendHeartbeatsDuringSave()
+	case RoleFollower, RoleLearner:
+		n.respondDuringSave()
+	}
+	out := n.messages
+	n.messages = queued
+	return out
+}
+
+// sendHeartbeatsDuringSave sends the heartbeats of a round that is due. Their Index is 0, so
+// they say nothing about the leader's log and pass on no commit index.
+func (n *Node) sendHeartbeatsDuringSave() {
+	if !n.heartbeatDue {
+		return
+	}
+	n.heartbeatDue = false
+	leaseHeld := n.LeaseValid(n.now) && n.hasCommittedInTerm()
+	for _, id := range n.progressIDs {
+		p := n.progress[id]
+		sentCommit := p.sentCommit
+		n.sendAppend(id, p, leaseHeld, Message{})
+		p.sentCommit = sentCommit
+	}
+}
+
+// respondDuringSave responds to the leader's newest heartbeat, once.
+func (n *Node) respondDuringSave() {
+	if n.leader == "" || n.leaderSentAtTerm != n.hardState.Term || n.leaderSentAt <= n.respondedDuringSave {
+		return
+	}
+	n.respondedDuringSave = n.leaderSentAt
+	n.send(Message{Kind: MsgAppendResponse, To: n.leader, Index: n.log.applied, SentAt: n.now, Echo: n.leaderSentAt, Observer: n.cfg.Observer})
+}
+
 // mustPersistHardState reports whether rd must include the hard state. A change of the
 // commit index alone does not justify a sync, since a restarted node learns the index
 // again from the leader. The index is written together with entries, snapshots and
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -119,7 +119,7 @@
 	n.becomeFollower(m.Term, m.From)
 	n.hasHeardLeader, n.lastLeaderContact = true, n.now
 	if n.leaderSentAtTerm != m.Term {
-		n.leaderSentAtTerm, n.leaderSentAt = m.Term, 0
+		n.leaderSentAtTerm, n.leaderSentAt, n.respondedDuringSave = m.Term, 0, 0
 	}
 	n.leaderSentAt = max(n.leaderSentAt, m.SentAt)
 	return true
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -229,7 +229,9 @@
 	c.takeReady(h)
 	if c.syncDelayOneIn == 0 || c.rng.IntN(c.syncDelayOneIn) > 0 {
 		c.syncReady(h)
+		return
 	}
+	c.network = append(c.network, h.node.MessagesDuringSave()...)
 }
 
 // leader returns the running leader with the highest term, or nil if there is none.
--- a/raft/types.go
+++ b/raft/types.go
@@ -2,7 +2,8 @@
 // that does no I/O. The application passes in messages and the current time, and
 // processes each Ready in this order: write HardState, Entries and Snapshot to stable
 // storage and sync them; send Messages; apply Committed; call Advance. If Messages were
-// sent before the sync, an acknowledged entry could be lost in a crash.
+// sent before the sync, an acknowledged entry could be lost in a crash. While a sync takes
+// long, the application sends what MessagesDuringSave returns.
 //
 // All times are time.Duration since the process's monotonic origin. The package has
 // no clock, goroutine or random source of its own.
--- a/replica/group.go
+++ b/replica/group.go
@@ -3,14 +3,17 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/oleanderchute/oleanderchute/raft"
+	"github.com/oleanderchute/oleanderchute/storage"
 )
 
 // Store persists the raft log of one group.
 type Store interface {
-	// Save writes its arguments and returns after they are synced. hs and snap may be nil.
+	// Save writes its arguments and returns after they are synced. hs and snap may be nil. A
+	// Save that returns storage.ErrDiskFull has stored nothing and may be repeated.
 	Save(hs *raft.HardState, entries []raft.Entry, snap *raft.Snapshot) error
 	// Compact removes the entries that the newest saved snapshot covers.
 	Compact() error
@@ -42,8 +45,12 @@
 
 	saveRequests  chan saveRequest
 	storeClosed   chan struct{} // closed when the store is closed
-	saving        bool          // a save request is in flight
-	storageFailed bool          // a save request failed; the group processes no more Ready batches
+	saving        bool          // a save request is in flight or, if refused is set, will be repeated
+	saveStartedAt time.Duration // when the save request in flight was first sent
+	refused       *saveRequest  // the request that the full disk refused, to be repeated at retryAt
+	retryAt       time.Duration
+	diskFullSince time.Duration // when the disk was first found full, 0 if it has room
+	storageFailed bool          // a save request failed for good; the group processes no more Ready batches
 	appliedIndex  uint64
 	// compactedIndex is the index of the newest snapshot that was taken or received.
 	compactedIndex uint64
@@ -57,6 +64,18 @@
 	done     func(error)
 }
 
+const (
+	// maxLeaderSaveTime is how long a save on the leader may take before it hands over the
+	// leadership. A change of leader costs about half a second, and a shared disk may stall
+	// that long on all VMs.
+	maxLeaderSaveTime = 800 * time.Millisecond
+	// slowSaveTime is how long a save takes before heartbeats and responses to them no longer
+	// wait for it; about one heartbeat interval.
+	slowSaveTime = 50 * time.Millisecond
+	// diskFullRetryInterval is the time between two attempts to write to a full disk.
+	diskFullRetryInterval = 250 * time.Millisecond
+)
+
 // compactionInterval is the number of applied entries after which the log is compacted.
 const compactionInterval = 4096
 
@@ -103,8 +122,13 @@
 }
 
 // ProcessReady processes Ready batches until there are none or one must be saved first. It
-// also compacts the log when that is due.
+// also compacts the log when that is due. While a batch is being saved, it sends the messages
+// that need not wait for that.
 func (g *Group) ProcessReady(now time.Duration) {
+	if g.saving {
+		g.continueSaving(now)
+		return
+	}
 	for !g.saving && !g.storageFailed {
 		ready, ok := g.Node.Ready()
 		if !ok {
@@ -114,24 +138,95 @@
 			g.completeReady(now, ready)
 			continue
 		}
-		g.saving = true
-		g.saveRequests <- saveRequest{ready: ready, done: func(err error) { g.eventLoop.Post(func() { g.onSaved(ready, err) }) }}
+		request := saveRequest{ready: ready}
+		request.done = func(err error) { g.eventLoop.Post(func() { g.onSaved(request, err) }) }
+		g.startSaving(now, request)
+	}
+	g.maybeCompact(now)
+}
+
+// startSaving passes a request to the storage goroutine.
+func (g *Group) startSaving(now time.Duration, request saveRequest) {
+	g.saving, g.saveStartedAt = true, now
+	g.saveRequests <- request
+}
+
+// continueSaving does what is due while a request is being saved: it repeats the request after
+// the disk was full, hands over the leadership if the disk takes too long, and sends heartbeats
+// and responses to them.
+func (g *Group) continueSaving(now time.Duration) {
+	if g.storageFailed {
+		return
+	}
+	if g.refused != nil && now >= g.retryAt {
+		request := *g.refused
+		g.refused = nil
+		g.saveRequests <- request
+	}
+	if now-g.saveStartedAt >= maxLeaderSaveTime {
+		g.handOver(now, "a write to the data folder takes too long")
+	}
+	if now-g.saveStartedAt >= slowSaveTime {
+		g.sendAll(g.Node.MessagesDuringSave())
+	}
+}
+
+// handOver gives up the leadership, if this node has it, because its disk does not take writes.
+func (g *Group) handOver(now time.Duration, reason string) {
+	if g.Node.Role() != raft.RoleLeader {
+		return
+	}
+	g.log.Warn("leadership handed over", zap.String("reason", reason), zap.Duration("save_takes", now-g.saveStartedAt), zap.Uint64("term", g.Node.Term()))
+	g.sendAll(g.Node.HandOver(now))
+}
+
+func (g *Group) sendAll(messages []raft.Message) {
+	for _, m := range messages {
+		g.send(m)
 	}
-	g.maybeCompact()
 }
 
-// onSaved completes a Ready batch after an attempt to save it.
-func (g *Group) onSaved(ready raft.Ready, err error) {
+// onSaved completes a Ready batch after an attempt to save it. A batch that the full disk
+// refused is saved again later; until then the node acknowledges nothing.
+func (g *Group) onSaved(request saveRequest, err error) {
+	now := g.eventLoop.Now()
+	if errors.Is(err, storage.ErrDiskFull) {
+		g.onDiskFull(now, err)
+		g.refused, g.retryAt = &request, now+diskFullRetryInterval
+		return
+	}
 	g.saving = false
 	if err != nil {
-		g.failStorage(err)
+		g.failStorage(now, err)
 		return
 	}
-	g.completeReady(g.eventLoop.Now(), ready)
+	g.onDiskWritten(now)
+	g.completeReady(now, request.ready)
+}
+
+// onDiskFull records that the disk is full and hands over the leadership.
+func (g *Group) onDiskFull(now time.Duration, err error) {
+	if g.diskFullSince == 0 {
+		g.diskFullSince = now
+		g.log.Warn("disk is full; this VM acknowledges nothing until there is room", zap.Error(err))
+	}
+	g.handOver(now, "the disk is full")
+}
+
+// onDiskWritten records that the disk has taken a write.
+func (g *Group) onDiskWritten(now time.Duration) {
+	if g.diskFullSince != 0 {
+		g.log.Info("disk has room again", zap.Duration("was_full", now-g.diskFullSince))
+		g.diskFullSince = 0
+	}
 }
 
+// DiskFull reports whether the newest write was refused because the disk is full.
+func (g *Group) DiskFull() bool { return g.diskFullSince != 0 }
+
 // failStorage stops the raft node after a failed write.
-func (g *Group) failStorage(err error) {
+func (g *Group) failStorage(now time.Duration, err error) {
+	g.handOver(now, "a write to the data folder failed")
 	g.storageFailed = true
 	g.Node.SetStorageFailed()
 	g.log.Error("data folder cannot be written; this VM no longer votes in the group", zap.Error(err))
@@ -140,9 +235,7 @@
 // completeReady sends the messages of a durable Ready batch, applies its entries and
 // advances the node.
 func (g *Group) completeReady(now time.Duration, ready raft.Ready) {
-	for _, m := range ready.Messages {
-		g.send(m)
-	}
+	g.sendAll(ready.Messages)
 	if ready.Snapshot != nil {
 		g.Restore(*ready.Snapshot)
 	}
@@ -174,25 +267,34 @@
 
 // maybeCompact takes a snapshot and queues it to be saved, if enough entries were applied
 // since the last one.
-func (g *Group) maybeCompact() {
-	if g.saving || g.storageFailed || g.appliedIndex < g.compactedIndex+compactionInterval {
+func (g *Group) maybeCompact(now time.Duration) {
+	if g.saving || g.storageFailed || g.appliedIndex < g.compactedIndex+compactionInterval || now < g.retryAt {
 		return
 	}
+	previous := g.compactedIndex
 	g.compactedIndex = g.appliedIndex
 	snap, err := g.Node.Compact(g.appliedIndex, g.stateMachine.Snapshot())
 	if err != nil {
 		g.log.Debug("log not compacted", zap.Error(err))
 		return
 	}
-	g.saving = true
-	g.saveRequests <- saveRequest{snapshot: &snap, done: func(err error) {
-		g.eventLoop.Post(func() {
-			g.saving = false
-			if err != nil {
-				g.failStorage(err)
-			}
-		})
-	}}
+	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) { g.eventLoop.Post(func() { g.onCompacted(previous, err) }) }})
+}
+
+// onCompacted handles the result of saving a snapshot. If the disk was full, the log on the
+// disk stays as it is, and a newer snapshot is taken later.
+func (g *Group) onCompacted(previousIndex uint64, err error) {
+	g.saving = false
+	now := g.eventLoop.Now()
+	switch {
+	case errors.Is(err, storage.ErrDiskFull):
+		g.onDiskFull(now, err)
+		g.compactedIndex, g.retryAt = previousIndex, now+diskFullRetryInterval
+	case err != nil:
+		g.failStorage(now, err)
+	default:
+		g.onDiskWritten(now)
+	}
 }
 
 // AppliedIndex returns the index of the newest entry that the group has applied.
--- a/storage/diskstore.go
+++ b/storage/diskstore.go
@@ -65,6 +65,9 @@
 	nextSeq  uint64       // sequence number of the next record
 	buf      bytes.Buffer // reused to encode records
 	failure  error        // first failed write or sync, or ErrClosed; never cleared
+	// hasTornTail is set when the disk was full in the middle of a record. The active segment
+	// must be truncated to its size before the next record is appended.
+	hasTornTail bool
 }
 
 // OpenDiskStore opens the log of a group in the data folder dir and returns the
@@ -172,8 +175,9 @@
 // entry of the snapshot, and dropped otherwise. Recovery finds either all of a Save or
 // nothing of it.
 //
-// After ErrDiskFull, ErrSyncFailed or ErrIO every later Save returns the same error.
-// ErrInvalid leaves the store unchanged and usable.
+// After ErrSyncFailed or ErrIO every later Save returns the same error. ErrDiskFull and
+// ErrInvalid leave the store unchanged and usable: a Save that found the disk full may be
+// repeated.
 func (s *DiskStore) Save(hs *raft.HardState, entries []raft.Entry, snap *raft.Snapshot) error {
 	r := record{HardState: hs, Entries: entries}
 	if snap == nil {
@@ -221,9 +225,9 @@
 }
 
 // setFailure stores err if it is the first failure, so that later calls return it. It
-// ignores ErrInvalid. It returns err.
+// ignores ErrInvalid and ErrDiskFull. It returns err.
 func (s *DiskStore) setFailure(err error) error {
-	if err != nil && s.failure == nil && !errors.Is(err, ErrInvalid) {
+	if err != nil && s.failure == nil && !errors.Is(err, ErrInvalid) && !errors.Is(err, ErrDiskFull) {
 		s.failure = err
 	}
 	return err
@@ -248,13 +252,34 @@
 	if err := appendFrame(&s.buf, r, seg.salt, s.nextSeq); err != nil {
 		return err
 	}
-	if err := appendAndSync(s.file, filepath.Join(s.dir, seg.name()), s.buf.Bytes()); err != nil {
+	path := filepath.Join(s.dir, seg.name())
+	if err := s.removeTornTail(path, seg.size); err != nil {
+		return s.setFailure(err)
+	}
+	if err := appendAndSync(s.file, path, s.buf.Bytes()); err != nil {
+		s.hasTornTail = errors.Is(err, ErrDiskFull)
 		return s.setFailure(err)
 	}
 	s.applyRecord(r, int64(s.buf.Len()))
 	return nil
 }
 
+// removeTornTail truncates the active segment to its size if the last record was not written
+// completely.
+func (s *DiskStore) removeTornTail(path string, size int64) error {
+	if !s.hasTornTail {
+		return nil
+	}
+	if err := s.file.Truncate(size); err != nil {
+		return wrapDiskError(opTruncate, path, err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return wrapDiskError(opSync, path, err)
+	}
+	s.hasTornTail = false
+	return nil
+}
+
 // applyRecord updates the state after a record is durable. size is the number of bytes
 // written.
 func (s *DiskStore) applyRecord(r record, size int64) {
--- a/storage/errors.go
+++ b/storage/errors.go
@@ -35,7 +35,7 @@
 // Kind and Err.
 type DiskError struct {
 	Kind error  // ErrDiskFull, ErrSyncFailed or ErrIO
-	Op   string // "open", "read", "write", "sync", "rename", "remove" or "mkdir"
+	Op   string // "open", "read", "write", "sync", "rename", "remove", "mkdir" or "truncate"
 	Path string
 	Err  error // cause
 }
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -18,6 +18,8 @@
 	opRename = "rename"
 	opRemove = "remove"
 	opMkdir  = "mkdir"
+	// opTruncate is followed by a sync.
+	opTruncate = "truncate"
 )
 
 const (
@@ -49,6 +51,8 @@
 type File interface {
 	io.WriteCloser
 	Sync() error
+	// Truncate cuts the file to size bytes.
+	Truncate(size int64) error
 }
 
 // OS is the operating system's file system.
@@ -111,7 +115,7 @@
 }
 
 // writeFile writes data to a new file at path, which is durable when writeFile returns.
-// The file stays open for appending.
+// The file stays open for appending. On a full disk it leaves nothing behind.
 func writeFile(fsys FS, path string, data []byte) (File, error) {
 	tmp := path + tmpSuffix
 	f, err := fsys.Create(tmp)
@@ -120,6 +124,11 @@
 	}
 	if err := appendAndSync(f, tmp, data); err != nil {
 		f.Close()
+		if errors.Is(err, ErrDiskFull) {
+			// The space is needed by others. If the removal fails too, the next attempt
+			// truncates the same file.
+			_ = fsys.Remove(tmp)
+		}
 		return nil, err
 	}
 	if err := fsys.Rename(tmp, path); err != nil {
--- a/storage/memfs_test.go
+++ b/storage/memfs_test.go
@@ -211,6 +211,16 @@
 	return nil
 }
 
+func (f *memFile) Truncate(size int64) error {
+	end, err := f.fsys.begin(opTruncate, f.path)
+	if err != nil {
+		return err
+	}
+	defer end()
+	f.node.data = f.node.data[:size:size]
+	return nil
+}
+
 func (f *memFile) Close() error { return nil }
 
 // crash releases all locks and loses part of what was not synced. pick returns a number
@@ -223,8 +233,13 @@
 // crash returns what is left of the node after a crash.
 func (n *memNode) crash(pick func(n int) int) *memNode {
 	if !n.isDir {
+		if len(n.data) < len(n.synced) && pick(1) == 1 {
+			n.synced = n.data // a truncation without a sync may have reached the disk
+		}
 		data := append([]byte(nil), n.synced...)
-		data = append(data, n.data[len(n.synced):len(n.synced)+pick(len(n.data)-len(n.synced))]...)
+		if len(n.data) > len(n.synced) {
+			data = append(data, n.data[len(n.synced):len(n.synced)+pick(len(n.data)-len(n.synced))]...)
+		}
 		// Blocks reach the disk in any order, so a range may still be zeros.
 		hole := data[len(n.synced):]
 		hole = hole[pick(len(hole)):]
