--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -389,3 +389,15 @@
 	tc.c.Assert(string(r.Document), qt.Equals, "v3")
 	tc.awaitFullTolerance("the loss of two disks")
 }
+
+// Guards against a former leader that lost its disk and, told by a VM that does not know of the
+// next leader yet that it is the leader itself, never asks another VM again and never votes.
+func TestFormerLeaderWithEmptyDiskRejoins(t *testing.T) {
+	tc := newTestCell(t, 3)
+	tc.awaitFullTolerance("the start")
+	leader := tc.leader()
+	tc.stop(leader)
+	n := tc.start(leader, tc.c.TempDir(), false)
+	n.finder.update(leader, nil)
+	tc.awaitFullTolerance("the loss of the leader's disk")
+}
--- a/cell/members.go
+++ b/cell/members.go
@@ -32,7 +32,9 @@
 }
 
 // joinSelf handles the join of this VM itself, without a call over the network.
-func (h *replicaHost) joinSelf(args JoinArgs) { h.join(h.node.eventLoop.Now(), args) }
+func (h *replicaHost) joinSelf(args JoinArgs) JoinReply {
+	return h.join(h.node.eventLoop.Now(), args)
+}
 
 // join records that a VM is alive, registers it if it is a new or changed keeper, and
 // returns the leader and the keepers. Only the active leader records anything.
--- a/cell/node.go
+++ b/cell/node.go
@@ -181,7 +181,11 @@
 	}
 	target := n.finder.next()
 	if target == n.settings.Address {
-		n.eventLoop.Post(func() { n.host.joinSelf(args) })
+		n.eventLoop.Post(func() {
+			if reply := n.host.joinSelf(args); reply.Leader != target {
+				n.finder.forgetLeader(target) // another VM has named this one, which no longer leads
+			}
+		})
 		return
 	}
 	var reply JoinReply
