--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -6,12 +6,15 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest"
 
 	"github.com/oleanderchute/oleanderchute/dispatch"
 	"github.com/oleanderchute/oleanderchute/job"
@@ -100,6 +103,7 @@
 	workers *fakeWorkers
 	seeds   []string
 	nodes   map[string]*testNode
+	log     *zap.Logger
 	// faultTolerance is the number of keepers that may be lost simultaneously.
 	faultTolerance int
 }
@@ -118,9 +122,31 @@
 	return l.Addr().String()
 }
 
+// logOnFailure returns a logger whose lines are shown if the test fails, without those about
+// single jobs and tasks.
+func logOnFailure(t *testing.T) *zap.Logger {
+	var buffer zaptest.Buffer
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(&buffer), zap.InfoLevel)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		for _, line := range buffer.Lines() {
+			if !strings.Contains(line, `"job"`) {
+				t.Log(line)
+			}
+		}
+	})
+	return zap.New(core)
+}
+
 func newTestCell(t *testing.T, keepers int) *testCell {
 	c := qt.New(t)
 	tc := &testCell{c: c, workers: newFakeWorkers(), nodes: map[string]*testNode{}, faultTolerance: (keepers - 1) / 2}
+	tc.log = logOnFailure(t)
+	tc.log.Info("cell starts")
 	for range keepers {
 		tc.seeds = append(tc.seeds, freeAddress(c))
 	}
@@ -141,7 +167,7 @@
 	if dir != "" {
 		s.DataDir, s.PublicAddress = filepath.Join(dir, "data"), address
 	}
-	n, err := New(s, tc.workers, noAdvisor{}, zap.NewNop())
+	n, err := New(s, tc.workers, noAdvisor{}, tc.log.With(zap.String("vm", address)))
 	tc.c.Assert(err, qt.IsNil)
 	listener, err := net.Listen("tcp", address)
 	tc.c.Assert(err, qt.IsNil)
--- a/cell/host.go
+++ b/cell/host.go
@@ -84,6 +84,11 @@
 		h.node.log.Info("job cancelled", zap.Stringer("job", op.Cancel.ID))
 	case op.Config != nil:
 		h.node.log.Info("configuration applied", zap.Int64("version", op.Config.Version), zap.Int64("in_force", h.state.Config().Version))
+		for _, q := range op.Config.Queues {
+			if q.TargetMillis == 0 && h.epoch != 0 {
+				h.node.log.Warn("route has no target latency; its jobs are due when their estimated work is done", zap.String("route", q.Name), zap.Int64("version", op.Config.Version))
+			}
+		}
 	case op.Member != nil:
 		h.node.log.Info("member registered", zap.String("node", op.Member.NodeID))
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -200,7 +200,7 @@
 		}
 		old := s.workers[s.byName[info.Name]]
 		successor := s.addWorker(info, s.now)
-		s.record(Decision{Event: "worker registered", Worker: info.Name})
+		s.record(Decision{Event: "worker registered", Worker: info.Name, Reason: missingRack(info)})
 		if old != nil && old.info.Address == info.Address {
 			s.transferClaims(old, successor)
 		}
@@ -212,6 +212,15 @@
 	}
 }
 
+// missingRack says that a worker has no rack: steps that need one rack, or data in one, treat it
+// as a rack of its own name, the empty one.
+func missingRack(info *job.Worker) string {
+	if info.Rack == "" {
+		return "without a rack"
+	}
+	return ""
+}
+
 // removeWorker removes an incarnation that is over. Claims on it that were made in the meantime
 // end as lost.
 func (s *Scheduler) removeWorker(number uint32) {
