cell: a worker's sign-off is acknowledged once it is in the log

Cause: the leader answered a sign-off before its entry was committed. After a change of leader the worker was still registered (it would have got work again only once it answered a renewal). Change: the answer waits for the commit, as that of an announcement that it leaves. The test TestSignOffIsAcknowledgedAfterCommit failed before.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -427,3 +427,25 @@
 	n.finder.update(leader, nil)
 	tc.awaitFullTolerance("the loss of the leader's disk")
 }
+
+// Guards against a worker's sign-off that is acknowledged before it is in the log: after a change
+// of leader the worker would be in use again.
+func TestSignOffIsAcknowledgedAfterCommit(t *testing.T) {
+	tc := newTestCell(t, 3)
+	n := tc.nodes[tc.leader()].node
+	tc.c.Assert(forwardCall(n, Call{Kind: PutConfig, Config: testConfig(3)}).Code, qt.Equals, OK)
+	tc.announce(n, "w1")
+	registered := func(h *replicaHost) (names []string) {
+		h.state.Workers(func(w *job.Worker) { names = append(names, w.Name) })
+		return names
+	}
+	replies := make(chan Reply, 1)
+	tc.onEventLoop(tc.leader(), func(h *replicaHost) {
+		h.serve(h.node.eventLoop.Now(), Call{Kind: SignOff, Worker: "w1"}, func(r Reply) {
+			tc.c.Check(registered(h), qt.HasLen, 0)
+			replies <- r
+		})
+	})
+	tc.c.Assert((<-replies).Code, qt.Equals, OK)
+	tc.c.Assert(forwardCall(n, Call{Kind: SignOff, Worker: "w1"}).Code, qt.Equals, OK) // a repeated one
+}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -30,7 +30,7 @@
 		h.announce(now, c, done)
 	case SignOff:
 		h.scheduler.SignedOff(now, c.Worker)
-		done(Reply{Code: OK})
+		h.propose(replyOnCommit(done, Reply{Code: OK}))
 	default:
 		done(Reply{Code: BadCall, Text: "unknown kind of call"})
 	}
