raft: after a restart of all members the election does not wait for a lease that nobody holds

Cause: a restarted voter neither votes nor campaigns for an election timeout, since it may have answered a leader before. Change: a response to a recovery request says whether its sender leads; when all members have said that they hold no lease, the wait ends. Older versions don't say it, so the wait stays.

--- a/raft/node.go
+++ b/raft/node.go
@@ -58,6 +58,7 @@
 	observedStates    map[NodeID]ObservedState
 	startCounts       map[NodeID]uint64 // StartCount in the newest MsgRecovery of each member
 	recoveryResponses map[NodeID]bool   // the peers that have responded; nil if the node did not need recovery
+	peersWithoutLease map[NodeID]bool   // the peers that have responded that they hold no lease
 	recoveryRetryAt   time.Duration
 	// reportedMemberships holds the memberships in the peers' responses, and under the
 	// node's own ID the membership on its disk.
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -13,6 +13,11 @@
 // later response that proves a loss is still processed. As the membership on the node's
 // disk may be out of date, the responses contain the membership of the peers.
 //
+// A restarted node may have answered a leader before its restart, so it neither votes nor
+// campaigns for an election timeout. That wait ends when all members have responded that
+// they hold no lease, as after a power loss of all: the leader was one of them, and whoever
+// becomes the leader after its response has to win the votes of nodes that know their promises.
+//
 // All voters may restart at the same time. A recovering node answers MsgRecovery too, so
 // they recover from each other. A single voter needs no response, but it waits all the
 // same: its disk may be an old copy, and the leader of the group that has grown since
@@ -29,6 +34,7 @@
 func (n *Node) startRecovery() {
 	n.role = RoleRecovering
 	n.voteNotBefore = n.now + n.cfg.ElectionTimeout
+	n.peersWithoutLease = map[NodeID]bool{}
 	n.recoveryResponses, n.reportedMemberships = map[NodeID]bool{}, map[NodeID]Membership{n.cfg.ID: n.membership}
 	n.sendRecoveryRequests()
 	n.tryFinishRecovery()
@@ -88,6 +94,19 @@
 	}
 }
 
+// endWaitWithoutLease ends the wait after the restart if all peers hold no lease.
+func (n *Node) endWaitWithoutLease() {
+	peers := n.recoveryPeers()
+	for _, id := range peers {
+		if !n.peersWithoutLease[id] {
+			return
+		}
+	}
+	if len(peers) > 0 {
+		n.voteNotBefore = min(n.voteNotBefore, n.now)
+	}
+}
+
 // hasRecoveryQuorum reports whether a quorum of any known membership has responded,
 // including the node itself. One membership is sufficient because the node cannot tell
 // which of them is in effect: the newest may be uncommitted and be removed again.
@@ -140,7 +159,7 @@
 		observed = observed.merge(ObservedState{Term: n.hardState.Term, Vote: to})
 	}
 	ms := n.membership.clone()
-	n.send(Message{Kind: MsgRecoveryResponse, To: to, Hint: startCount, ObservedStates: []ObservedState{observed}, Membership: &ms})
+	n.send(Message{Kind: MsgRecoveryResponse, To: to, Hint: startCount, ObservedStates: []ObservedState{observed}, Membership: &ms, HoldsNoLease: n.role != RoleLeader})
 }
 
 func (n *Node) onRecoveryResponse(m Message) {
@@ -160,6 +179,10 @@
 		return
 	}
 	n.recoveryResponses[m.From] = true
+	if m.HoldsNoLease {
+		n.peersWithoutLease[m.From] = true
+	}
+	n.endWaitWithoutLease()
 	if n.role == RoleRecovering {
 		n.tryFinishRecovery()
 	}
--- a/raft/types.go
+++ b/raft/types.go
@@ -179,6 +179,8 @@
 	// Membership is the sender's newest membership, set in a MsgRecoveryResponse. The
 	// membership on the disk of a restarted node may be out of date.
 	Membership *Membership `cbor:"21,keyasint,omitempty"`
+	// HoldsNoLease is true in a MsgRecoveryResponse if the sender is not the leader.
+	HoldsNoLease bool `cbor:"22,keyasint,omitempty"`
 }
 
 // Ready is a batch of work for the application, to be processed in the order of its
