--- a/cell/host.go
+++ b/cell/host.go
@@ -32,7 +32,7 @@
 	// leader.
 	lastSeen      map[string]time.Duration
 	leaderSince   time.Duration // when this replica became the leader
-	missing       toleranceAlarm
+	tolerance     toleranceAlarm
 	nextReconcile time.Duration
 }
 
@@ -159,7 +159,7 @@
 	if h.epoch == 0 && h.group.IsActiveLeader(now) {
 		h.epoch = node.Term()
 		h.node.metrics.leader.Set(1)
-		h.lastSeen, h.leaderSince, h.missing = map[string]time.Duration{}, now, toleranceAlarm{}
+		h.lastSeen, h.leaderSince, h.tolerance = map[string]time.Duration{}, now, toleranceAlarm{}
 		h.state.Members(func(m job.Member) { h.lastSeen[m.Address] = now })
 		h.scheduler.BecomeLeader(now, time.Now().UnixMilli(), h.epoch)
 		h.node.log.Info("leadership gained", zap.Uint64("term", h.epoch), zap.Int64("version", h.state.Config().Version))
--- a/cell/members.go
+++ b/cell/members.go
@@ -66,7 +66,7 @@
 	h.scheduler.SetAdvisorProxies(alive)
 	view := h.membershipView(now)
 	h.group.Reconcile(now, view.desired())
-	h.missing.update(now, h.node, view.missingVoters())
+	h.tolerance.update(now, h.node, view.missingVoters())
 }
 
 // membershipView returns what this leader knows of the members.
