raft, replica, cell: the change read once more, without a change of behavior but one log line

- raft: collectMessages holds the swap of the queue that HandOver and MessagesDuringSave had each; the response during a save goes through respondToAppend; HandOver sets no lease state, since a follower holds none; the check of the peers' leases is the idiom of tryFinishRecovery and runs only after a response that can change its result.
- replica: continueSaving needs no check of storageFailed, which is never set while saving.
- cell: routes without a target latency are one log line, not one a route (a configuration may have over a thousand); membershipStableTime stands in the test that checks it.
- tests: restartAll has no parameter that nobody passes.

--- a/cell/host.go
+++ b/cell/host.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,16 +85,30 @@
 		h.node.log.Info("job cancelled", zap.Stringer("job", op.Cancel.ID))
 	case op.Config != nil:
 		h.node.log.Info("configuration applied", zap.Int64("version", op.Config.Version), zap.Int64("in_force", h.state.Config().Version))
-		for _, q := range op.Config.Queues {
-			if q.TargetMillis == 0 && h.epoch != 0 {
-				h.node.log.Warn("route has no target latency; its jobs are due when their estimated work is done", zap.String("route", q.Name), zap.Int64("version", op.Config.Version))
-			}
-		}
+		h.warnOfRoutesWithoutTarget(op.Config)
 	case op.Member != nil:
 		h.node.log.Info("member registered", zap.String("node", op.Member.NodeID))
 	}
 }
 
+// warnOfRoutesWithoutTarget logs, on the leader, how many routes have no target latency and the
+// first of them, in one line however many routes there are.
+func (h *replicaHost) warnOfRoutesWithoutTarget(c *job.Config) {
+	hasNoTarget := func(q job.Queue) bool { return q.TargetMillis == 0 }
+	first := slices.IndexFunc(c.Queues, hasNoTarget)
+	if h.epoch == 0 || first < 0 {
+		return
+	}
+	count := 0
+	for _, q := range c.Queues[first:] {
+		if hasNoTarget(q) {
+			count++
+		}
+	}
+	h.node.log.Warn("routes have no target latency; their jobs are due when their estimated work is done",
+		zap.Int("routes", count), zap.String("first", c.Queues[first].Name), zap.Int64("version", c.Version))
+}
+
 // endsOpenJob reports whether an operation ends a run of a job that has not ended.
 func (h *replicaHost) endsOpenJob(op job.Op) bool {
 	if op.End == nil || h.epoch == 0 {
--- a/cell/members.go
+++ b/cell/members.go
@@ -16,10 +16,6 @@
 	// voterSilenceTimeout is how long a voter may be silent before a keeper that is alive takes
 	// its place. VMs send Join every joinInterval.
 	voterSilenceTimeout = 2 * time.Second
-	// membershipStableTime is the time without faults after which the group again has its number
-	// of voters and all of them are present, if enough keepers are: a silent voter is noticed,
-	// and the change of each seat takes three steps of ReconcileInterval.
-	membershipStableTime = 4 * time.Second
 	// learnerSilenceTimeout is how long a learner may be silent before it is removed from the
 	// members of the raft group; it rejoins when it returns.
 	learnerSilenceTimeout = 20 * time.Second
@@ -169,12 +165,12 @@
 
 // update takes the current reasons, and logs when they change.
 func (a *toleranceAlarm) update(now time.Duration, n *Node, reasons []string) {
-	if len(reasons) > 0 && len(a.reasons) == 0 {
-		a.since = now
-	}
 	if len(reasons) == 0 {
 		n.metrics.reducedToleranceSeconds.Set(0)
 	} else {
+		if len(a.reasons) == 0 {
+			a.since = now
+		}
 		n.metrics.reducedToleranceSeconds.Set(max(now-a.since, time.Millisecond).Seconds())
 	}
 	if slices.Equal(reasons, a.reasons) {
--- a/cell/members_test.go
+++ b/cell/members_test.go
@@ -153,6 +153,11 @@
 	return s
 }
 
+// membershipStableTime is the time without faults after which the group again has its number
+// of voters and all of them are present, if enough keepers are: a silent voter is noticed,
+// and the change of each seat takes three steps of ReconcileInterval.
+const membershipStableTime = 4 * time.Second
+
 // stableReconciles bounds the changes in membershipStableTime: one per ReconcileInterval after
 // the silence of a voter was noticed.
 const stableReconciles = int((membershipStableTime - voterSilenceTimeout) / replica.ReconcileInterval)
--- a/raft/node.go
+++ b/raft/node.go
@@ -227,6 +227,16 @@
 	n.messages = append(n.messages, m)
 }
 
+// collectMessages returns the messages that fn sends. They are not queued for the next Ready.
+func (n *Node) collectMessages(fn func()) []Message {
+	queued := n.messages
+	n.messages = nil
+	fn()
+	collected := n.messages
+	n.messages = queued
+	return collected
+}
+
 // Propose appends data to the leader's log and returns the index and term of the entry.
 // The entry is committed once Ready returns a committed entry with this index and term;
 // it is lost if Ready returns an entry with this index and another term. data must not
@@ -294,18 +304,12 @@
 			target = id
 		}
 	}
-	n.leaseReleased = true
 	isPersisted := n.hardState.Term == n.persistedHardState.Term
 	n.becomeFollower(n.hardState.Term, "")
 	if target == "" || !isPersisted {
 		return nil
 	}
-	queued := n.messages
-	n.messages = nil
-	n.send(Message{Kind: MsgTimeoutNow, To: target})
-	out := n.messages
-	n.messages = queued
-	return out
+	return n.collectMessages(func() { n.send(Message{Kind: MsgTimeoutNow, To: target}) })
 }
 
 // SetStorageFailed stops the node until the process restarts. The node steps down, drops
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -32,17 +32,13 @@
 	if n.hardState.Term != n.persistedHardState.Term || n.hardState.StartCount != n.persistedHardState.StartCount {
 		return nil
 	}
-	queued := n.messages
-	n.messages = nil
 	switch n.role {
 	case RoleLeader:
-		n.sendHeartbeatsDuringSave()
+		return n.collectMessages(n.sendHeartbeatsDuringSave)
 	case RoleFollower, RoleLearner:
-		n.respondDuringSave()
+		return n.collectMessages(n.respondDuringSave)
 	}
-	out := n.messages
-	n.messages = queued
-	return out
+	return nil
 }
 
 // sendHeartbeatsDuringSave sends the heartbeats of a round that is due. Their Index is 0, so
@@ -67,7 +63,7 @@
 		return
 	}
 	n.respondedDuringSave = n.leaderSentAt
-	n.send(Message{Kind: MsgAppendResponse, To: n.leader, Index: n.log.applied, SentAt: n.now, Echo: n.leaderSentAt, Observer: n.cfg.Observer})
+	n.respondToAppend(n.leader, Message{Index: n.log.applied})
 }
 
 // mustPersistHardState reports whether rd must include the hard state. A change of the
--- a/raft/recovery.go
+++ b/raft/recovery.go
@@ -96,13 +96,7 @@
 
 // endWaitWithoutLease ends the wait after the restart if all peers hold no lease.
 func (n *Node) endWaitWithoutLease() {
-	peers := n.recoveryPeers()
-	for _, id := range peers {
-		if !n.peersWithoutLease[id] {
-			return
-		}
-	}
-	if len(peers) > 0 {
+	if !slices.ContainsFunc(n.recoveryPeers(), func(id NodeID) bool { return !n.peersWithoutLease[id] }) {
 		n.voteNotBefore = min(n.voteNotBefore, n.now)
 	}
 }
@@ -181,8 +175,8 @@
 	n.recoveryResponses[m.From] = true
 	if m.HoldsNoLease {
 		n.peersWithoutLease[m.From] = true
+		n.endWaitWithoutLease()
 	}
-	n.endWaitWithoutLease()
 	if n.role == RoleRecovering {
 		n.tryFinishRecovery()
 	}
--- a/raft/restart_test.go
+++ b/raft/restart_test.go
@@ -7,20 +7,14 @@
 	"github.com/frankban/quicktest"
 )
 
-// restartAll crashes all hosts and starts those that are not in down.
-func restartAll(c *cluster, down ...NodeID) {
+// restartAll crashes all hosts and starts them again.
+func restartAll(c *cluster) {
 	for _, id := range c.ids {
 		c.crash(c.hosts[id])
 	}
 	c.network = nil
 	for _, id := range c.ids {
-		isDown := false
-		for _, d := range down {
-			isDown = isDown || id == d
-		}
-		if !isDown {
-			c.start(c.hosts[id])
-		}
+		c.start(c.hosts[id])
 	}
 }
 
--- a/replica/group.go
+++ b/replica/group.go
@@ -155,9 +155,6 @@
 // the disk was full, hands over the leadership if the disk takes too long, and sends heartbeats
 // and responses to them.
 func (g *Group) continueSaving(now time.Duration) {
-	if g.storageFailed {
-		return
-	}
 	if g.refused != nil && now >= g.retryAt {
 		request := *g.refused
 		g.refused = nil
