--- a/review/standins/platform/cases.go
+++ b/review/standins/platform/cases.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -295,7 +299,7 @@
 	}
 	version := 2
 	total := 0
-	for round := range 3 {
+	for round := range 9 {
 		n, err := s.refusedRound(round+1, version, both)
 		if err != nil {
 			return notPlayed, err
@@ -310,45 +314,39 @@
 }
 
 func (s *scene) refusedRound(round, version int, both []route) (int, error) {
+	const jobs = 200
 	leader := s.leader()
 	if leader == nil {
 		return 0, fmt.Errorf("no leader is known")
 	}
 	var mu sync.Mutex
 	refused := map[string][]int{}
-	stop := make(chan struct{})
+	first := make(chan struct{}, jobs)
 	var wg sync.WaitGroup
-	for range 48 {
+	for range jobs {
 		wg.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				id := newID()
-				statuses := s.submitOnce("/pufi791/" + id)
-				last := statuses[len(statuses)-1]
-				if last == 404 || last == 429 || last == 503 {
-					mu.Lock()
-					refused[id] = statuses
-					mu.Unlock()
-					if last == 404 {
-						return
-					}
-				}
-				time.Sleep(100 * time.Millisecond)
+			id := newID()
+			statuses := s.submitOnce("/pufi791/" + id)
+			first <- struct{}{}
+			if last := statuses[len(statuses)-1]; last == 404 || last == 429 || last == 503 {
+				mu.Lock()
+				refused[id] = statuses
+				mu.Unlock()
 			}
 		})
 	}
-	time.Sleep(500 * time.Millisecond)
+	changed := make(chan int, 1)
+	go func() {
+		time.Sleep(6 * time.Millisecond)
+		changed <- s.callers.put(version, configBody(version, both[:1]), 15*time.Second)
+	}()
+	<-first
+	time.Sleep(2 * time.Millisecond)
 	if s.trouble {
 		leader.kill(syscall.SIGKILL)
 	}
-	status := s.callers.put(version, configBody(version, both[:1]), 15*time.Second)
-	time.Sleep(3 * time.Second)
-	close(stop)
 	wg.Wait()
+	status := <-changed
 	if status != 200 {
 		return 0, fmt.Errorf("the change is not acknowledged: %d", status)
 	}
@@ -360,7 +358,7 @@
 			s.rec.add("job %s was refused on all attempts (%v), and a worker has started it %d times", id, statuses, started)
 		}
 	}
-	s.say("round %d: %d jobs were refused, %d of them were started", round, len(refused), n)
+	s.say("round %d: %d of %d jobs were refused, %d of them were started", round, len(refused), jobs, n)
 	if n == 0 {
 		if s.callers.put(version+1, configBody(version+1, both), 15*time.Second) != 200 {
 			return 0, fmt.Errorf("the second change is not acknowledged")
@@ -374,8 +372,10 @@
 func (s *scene) submitOnce(path string) []int {
 	var statuses []int
 	body := oneTask(2000)
+	body.Spec = strings.Repeat("x", 4000)
+	first := rand.IntN(len(s.sys.entries))
 	for try := range 4 {
-		e := s.sys.entries[try%len(s.sys.entries)]
+		e := s.sys.entries[(first+try)%len(s.sys.entries)]
 		s.rec.add("POST %s to %s, try %d", path, e.name, try+1)
 		status, _ := s.callers.do(http.MethodPost, e.front(), routeHost, path, body, deadline)
 		s.rec.add("POST %s answered %d", path, status)
@@ -478,6 +478,9 @@
 	repetitions := 20
 	if s.trouble {
 		repetitions = 2000000
+		if v, err := strconv.Atoi(os.Getenv("REP")); err == nil {
+			repetitions = v
+		}
 	}
 	job := oneTask(500)
 	job.Repetitions, job.StartAt = repetitions, time.Now().UnixMilli()
