--- a/review/standins/platform/cases.go
+++ b/review/standins/platform/cases.go
@@ -470,6 +470,111 @@
 	return held, nil
 }
 
+// renameCase: a version removes a route and adds another one at the same host and prefix. The jobs
+// that were accepted there must still be known.
+func renameCase(s *scene) (result, error) {
+	if err := s.begin(4, oneRoute, func(string) time.Duration { return 20 * time.Second }); err != nil {
+		return notPlayed, err
+	}
+	var ids []string
+	for range 10 {
+		id := newID()
+		if status, _ := s.callers.call(http.MethodPost, "/lohu930/"+id, oneTask(20000), 5); status != 200 {
+			return notPlayed, fmt.Errorf("a job is not accepted: %d", status)
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(stableWindow)
+	name := "r-drafts"
+	if s.trouble {
+		name = "r-drafts-2"
+	}
+	if s.callers.put(2, configBody(2, []route{{name, "/lohu930/"}}), 5*time.Second) != 200 {
+		return notPlayed, fmt.Errorf("the change is not acknowledged")
+	}
+	time.Sleep(3 * time.Second)
+	gone := 0
+	for _, id := range ids {
+		status, state := s.callers.state("/lohu930/" + id)
+		s.rec.add("job %s: %d %s, %d starts", id, status, state, s.runs.starts(taskOf(id)))
+		if status == http.StatusGone {
+			gone++
+		}
+	}
+	s.say("%d of %d accepted jobs are answered 410", gone, len(ids))
+	if gone > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// removedCase: a version removes a route while jobs come in on it, and a later one adds it again.
+// Every job that was answered 200 must be known.
+func removedCase(s *scene) (result, error) {
+	both := []route{{"r-drafts", "/lohu930/"}, {"r-amend", "/pufi791/"}}
+	if err := s.begin(8, both, func(string) time.Duration { return 300 * time.Millisecond }); err != nil {
+		return notPlayed, err
+	}
+	for round := range 5 {
+		lost, err := s.removedRound(round+1, both)
+		if err != nil {
+			return notPlayed, err
+		}
+		if lost > 0 {
+			return broken, nil
+		}
+	}
+	return held, nil
+}
+
+func (s *scene) removedRound(round int, both []route) (int, error) {
+	var mu sync.Mutex
+	var accepted []string
+	var wg sync.WaitGroup
+	end := time.Now().Add(time.Second)
+	for range 60 {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				id := newID()
+				statuses := s.submitOnce("/pufi791/" + id)
+				switch statuses[len(statuses)-1] {
+				case http.StatusOK:
+					mu.Lock()
+					accepted = append(accepted, id)
+					mu.Unlock()
+				case http.StatusNotFound:
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	second := both
+	if s.trouble {
+		second = both[:1]
+	}
+	status := s.callers.put(2*round, configBody(2*round, second), 5*time.Second)
+	wg.Wait()
+	if status != 200 {
+		return 0, fmt.Errorf("the change is not acknowledged: %d", status)
+	}
+	time.Sleep(3 * time.Second)
+	if s.callers.put(2*round+1, configBody(2*round+1, both), 5*time.Second) != 200 {
+		return 0, fmt.Errorf("the second change is not acknowledged")
+	}
+	time.Sleep(4 * time.Second)
+	lost := 0
+	for _, id := range accepted {
+		if status, _ := s.callers.state("/pufi791/" + id); status == http.StatusGone {
+			lost++
+			s.rec.add("job %s was answered 200 when it was handed in, and 410 now; it was started %d times", id, s.runs.starts(taskOf(id)))
+		}
+	}
+	s.say("round %d: %d of %d accepted jobs are answered 410", round, lost, len(accepted))
+	return lost, nil
+}
+
 // repeatCase: one accepted job has very many repetitions, all due at once.
 func repeatCase(s *scene) (result, error) {
 	if err := s.begin(4, oneRoute, func(string) time.Duration { return 500 * time.Millisecond }); err != nil {
--- a/review/standins/platform/main.go
+++ b/review/standins/platform/main.go
@@ -35,6 +35,8 @@
 	"refused":    refusedCase,
 	"drain":      drainCase,
 	"repeat":     repeatCase,
+	"removed":    removedCase,
+	"rename":     renameCase,
 	"trailing":   trailingCase,
 }
 
