--- a/review/standins/platform/system.go
+++ b/review/standins/platform/system.go
@@ -241,3 +241,16 @@
 		os.RemoveAll(s.dir)
 	}
 }
+
+// freeze stops the process for a time, without waiting.
+func (m *machine) freeze(d time.Duration) {
+	m.mu.Lock()
+	process := m.cmd.Process
+	m.mu.Unlock()
+	m.sys.rec.add("%s stands still for %v", m.name, d)
+	_ = process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() {
+		_ = process.Signal(syscall.SIGCONT)
+		m.sys.rec.add("%s wakes", m.name)
+	})
+}
