--- a/review/standins/platform/cases.go
+++ b/review/standins/platform/cases.go
@@ -565,6 +565,60 @@
 	return lost, nil
 }
 
+// foreignCase: another writer sends one ping for a service that no configuration names, with the
+// address of a worker.
+func foreignCase(s *scene) (result, error) {
+	if err := s.begin(4, oneRoute, func(string) time.Duration { return 25 * time.Second }); err != nil {
+		return notPlayed, err
+	}
+	var ids []string
+	for range 12 {
+		id := newID()
+		if status, _ := s.callers.call(http.MethodPost, "/lohu930/"+id, oneTask(25000), 5); status != 200 {
+			return notPlayed, fmt.Errorf("a job is not accepted: %d", status)
+		}
+		ids = append(ids, id)
+	}
+	if err := s.await(10*time.Second, "all jobs run", func() bool {
+		for _, id := range ids {
+			if s.runs.starts(taskOf(id)) == 0 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return notPlayed, err
+	}
+	time.Sleep(time.Second)
+	var w *worker
+	for _, other := range s.workers {
+		if w == nil || len(other.tasks()) > len(w.tasks()) {
+			w = other
+		}
+	}
+	if s.trouble {
+		body := fmt.Sprintf(`{"service":"monitor","addr":%q,"zone":"port-louis-a","version":"v1","slots":8,"state":"ready","warmup_left_ms":0,`+
+			`"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":%d}`, w.addr, time.Now().UnixMilli())
+		for _, k := range s.sys.keepers {
+			s.rec.add("ping of another writer to %s", k.name)
+			status, out := s.callers.do(http.MethodPost, k.control(), "", "/instances/i-0badc0de/heartbeat", []byte(body), time.Second)
+			s.rec.add("ping answered %d %s", status, out)
+			if status/100 == 2 || status/100 == 4 {
+				break
+			}
+		}
+	}
+	time.Sleep(8 * time.Second)
+	doubled := s.runs.twice()
+	for _, d := range doubled {
+		s.say("two runs at the same time: %s", d)
+	}
+	if len(doubled) > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
 // repeatCase: one accepted job has very many repetitions, all due at once.
 func repeatCase(s *scene) (result, error) {
 	if err := s.begin(4, oneRoute, func(string) time.Duration { return 500 * time.Millisecond }); err != nil {
--- a/review/standins/platform/main.go
+++ b/review/standins/platform/main.go
@@ -35,6 +35,7 @@
 	"refused":    refusedCase,
 	"drain":      drainCase,
 	"repeat":     repeatCase,
+	"foreign":    foreignCase,
 	"removed":    removedCase,
 	"rename":     renameCase,
 	"trailing":   trailingCase,
