--- a/review/standins/platform/system.go
+++ b/review/standins/platform/system.go
@@ -27,13 +27,12 @@
 
 // system is a small deployment: five keepers and some entry machines on loopback addresses.
 type system struct {
-	rec      *record
-	dir      string
-	net      string // the first three octets of all addresses
-	base     int    // first port; the same on all machines
-	keepers  []*machine
-	entries  []*machine
-	shutting bool
+	rec     *record
+	dir     string
+	net     string // the first three octets of all addresses
+	base    int    // first port; the same on all machines
+	keepers []*machine
+	entries []*machine
 }
 
 // machine is one process of the system.
@@ -174,13 +173,16 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "OLEANDERCHUTE_SETTINGS=" + path}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	exited := make(chan struct{})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	m.mu.Lock()
 	m.cmd, m.exited, m.expected = cmd, exited, false
-	m.mu.Unlock()
 	s.rec.add("start %s pid %d bootstrap %v", m.name, cmd.Process.Pid, bootstrap)
 	go m.wait(cmd, exited)
 	return nil
