--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Builds the stand-ins of the review's scripts into review/bin. Run it after the build of the deploy file.
+# Builds the stand-ins of all the review's scripts into review/1/bin. Run it after the build of the deploy file.
 set -e
-cd "$(dirname "$0")/standins"
+cd "$(dirname "$0")/1/platform"
 mkdir -p ../bin
-go build -o ../bin/standins ./platform
+go build -o ../bin/standins .
