codec, platform: what can be written to the log can be read from it

Cause: the encoder writes text without a check and the decoder refused text that is not UTF-8, so an entry was committed that no replica can apply. The entry stays in the log, so a restart does not help.

Partitions of the daemon use the same modes.

Why it works: no value that was encoded is refused by a check of the decoder any more, wherever it came from, and a log that already holds such an entry is readable. Calls between VMs with such text are answered instead of repeated until the deadline.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -449,3 +449,22 @@
 	tc.c.Assert((<-replies).Code, qt.Equals, OK)
 	tc.c.Assert(forwardCall(n, Call{Kind: SignOff, Worker: "w1"}).Code, qt.Equals, OK) // a repeated one
 }
+
+// Guards against an announcement whose text is not UTF-8 and that ends every keeper, now and at each
+// start, because its log entry can be written but not read. Also guards against a call with such
+// text that another VM cannot decode: its caller would wait for the deadline instead of a refusal.
+func TestTextThatIsNotUTF8EndsNoKeeper(t *testing.T) {
+	tc := newTestCell(t, 3)
+	entry := tc.start(freeAddress(tc.c), "", false)
+	tc.c.Assert(forwardCall(entry, Call{Kind: PutConfig, Config: testConfig(3)}).Code, qt.Equals, OK)
+	tc.c.Assert(submit(entry, 1, 1).Code, qt.Equals, OK)
+	tc.announce(tc.nodes[tc.leader()].node, "i-\xff3a91c2")
+	tc.c.Assert(forwardCall(entry, Call{Kind: QueryJob, Host: "h\xff", Path: "/d/"}).Code, qt.Equals, NoQueue)
+	tc.c.Assert(forwardCall(entry, Call{Kind: QueryJob, Host: "h", Path: "/d/\xff"}).Code, qt.Equals, BadCall)
+	for _, s := range tc.seeds {
+		dir := tc.nodes[s].dir
+		tc.stop(s)
+		tc.start(s, dir, false)
+	}
+	tc.eventually("the job is known after a restart of all keepers", func() bool { return status(entry, 1) != 0 })
+}
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -3,15 +3,16 @@
 
 import "github.com/fxamacker/cbor/v2"
 
-// maxArrayElements is the maximum length of an array in a message or record, so that a
+// maxElements is the maximum length of an array or map in a message or record, so that a
 // corrupt length field cannot cause an allocation larger than a message or record may be.
-const maxArrayElements = 1 << 24
+const maxElements = 1 << 24
 
 var (
 	// EncMode encodes into a buffer that the caller provides.
 	EncMode = Must(cbor.EncOptions{}.UserBufferEncMode())
-	// DecMode decodes what EncMode has encoded.
-	DecMode = Must(cbor.DecOptions{MaxArrayElements: maxArrayElements}.DecMode())
+	// DecMode decodes everything that EncMode encodes. EncMode does not check text, so DecMode
+	// must not either: a log entry that cannot be decoded ends every replica at each start.
+	DecMode = Must(cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 	// DeterministicEncMode encodes equal values to equal bytes.
 	DeterministicEncMode = Must(cbor.CoreDetEncOptions().EncMode())
 )
--- a/partition/command.go
+++ b/partition/command.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/fxamacker/cbor/v2"
-	"github.com/oleanderchute/oleanderchute/api"
 	"github.com/pkg/errors"
+
+	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/internal/codec"
 )
 
 // batch is the content of one log entry.
@@ -100,12 +102,12 @@
 // decodeBatch decodes a log entry and its commands.
 func decodeBatch(data []byte) (batch, []command, error) {
 	var b batch
-	if err := cbor.Unmarshal(data, &b); err != nil {
+	if err := codec.DecMode.Unmarshal(data, &b); err != nil {
 		return batch{}, nil, errors.Wrap(err, "partition: decode batch")
 	}
 	commands := make([]command, len(b.Commands))
 	for i, raw := range b.Commands {
-		if err := cbor.Unmarshal(raw, &commands[i]); err != nil {
+		if err := codec.DecMode.Unmarshal(raw, &commands[i]); err != nil {
 			return batch{}, nil, errors.Wrapf(err, "partition: decode command %d", i)
 		}
 	}
--- a/partition/snapshot.go
+++ b/partition/snapshot.go
@@ -47,8 +47,9 @@
 }
 
 // snapshotDecMode raises the limit on the number of records so far that it has no effect,
-// since the storage has already verified the checksum of the snapshot.
-var snapshotDecMode = codec.Must(cbor.DecOptions{MaxArrayElements: 1 << 30}.DecMode())
+// since the storage has already verified the checksum of the snapshot. Like codec.DecMode it
+// accepts the text that the encoder accepts.
+var snapshotDecMode = codec.Must(cbor.DecOptions{MaxArrayElements: 1 << 30, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 
 // Restore replaces the replicated state by that of a snapshot. It returns an error and changes
 // nothing if data is not a valid snapshot or this replica is the owner.
