dispatch, cell: the runs of a worker that signs off are stopped, not taken as ended

Cause: SignedOff ended the claims of the worker as lost at once. A sign-off says that the worker is going to end; until then its tasks run and its lease is valid.

Change: the leader commits that the worker leaves and stops its runs. Their ends come with the worker's report.

Why it works: a task is placed again only after its end was listed, its stop is certain, the lease has certainly ended, or the worker has shown a later incarnation.

--- a/cell/forward.go
+++ b/cell/forward.go
@@ -47,7 +47,11 @@
 // forwardOnce sends the call to one VM. mayHaveRun reports whether the call may have been
 // executed although the reply does not say so.
 func (n *Node) forwardOnce(ctx context.Context, c Call) (reply Reply, mayHaveRun bool) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	timeout := attemptTimeout
+	if c.Kind == SignOff {
+		timeout = callTimeout // the leader stops the worker's runs before it replies
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	target := n.finder.next()
 	if target == n.settings.Address {
--- a/cell/host.go
+++ b/cell/host.go
@@ -29,6 +29,8 @@
 	proposals        map[uint64]proposal // by log index
 	// submitting holds the callbacks of the calls that wait for a job's Submit to commit.
 	submitting map[job.ID][]func(committed bool)
+	// signOffs holds the callbacks of the sign-offs that the scheduler has not confirmed, by worker.
+	signOffs map[string][]func(Reply)
 	// lastSeen is when each VM, by address, was last heard from while this replica is the
 	// leader.
 	lastSeen      map[string]time.Duration
@@ -45,7 +47,7 @@
 
 func newReplicaHost(n *Node) *replicaHost {
 	h := &replicaHost{node: n, state: job.NewState(), proposals: map[uint64]proposal{},
-		submitting: map[job.ID][]func(bool){}, lastSeen: map[string]time.Duration{}}
+		submitting: map[job.ID][]func(bool){}, signOffs: map[string][]func(Reply){}, lastSeen: map[string]time.Duration{}}
 	h.scheduler = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log, n.metrics))
 	return h
 }
@@ -196,6 +198,9 @@
 	for _, done := range lost {
 		done(false)
 	}
+	for worker := range h.signOffs {
+		h.confirmSignOff(worker, Reply{Code: Interrupted})
+	}
 }
 
 // propose adds operations to the next entry. done, if not nil, is called with true when the
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -25,6 +25,8 @@
 			h.sendStop(a)
 		case dispatch.Advise:
 			h.sendAdvise(a)
+		case dispatch.ConfirmSignOff:
+			h.confirmSignOff(a.Worker, Reply{Code: OK})
 		case dispatch.StepDown:
 			h.group.Node.StepDown()
 		}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -29,8 +29,7 @@
 	case Announce:
 		h.announce(now, c, done)
 	case SignOff:
-		h.scheduler.SignedOff(now, c.Worker)
-		h.propose(replyOnCommit(done, Reply{Code: OK}))
+		h.signOff(now, c.Worker, done)
 	default:
 		done(Reply{Code: BadCall, Text: "unknown kind of call"})
 	}
@@ -174,3 +173,22 @@
 	}
 	done(reply)
 }
+
+// signOff replies when the scheduler has recorded the sign-off, or at once if it does not know the
+// worker.
+func (h *replicaHost) signOff(now time.Duration, worker string, done func(Reply)) {
+	if !h.scheduler.SignedOff(now, worker) {
+		h.propose(replyOnCommit(done, Reply{Code: OK}))
+		return
+	}
+	h.signOffs[worker] = append(h.signOffs[worker], done)
+}
+
+// confirmSignOff replies to all calls that wait for the sign-off of a worker.
+func (h *replicaHost) confirmSignOff(worker string, r Reply) {
+	waiting := h.signOffs[worker]
+	delete(h.signOffs, worker)
+	for _, done := range waiting {
+		done(r)
+	}
+}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -173,6 +173,8 @@
 			c.stop(a)
 		case Advise:
 			c.advise(a)
+		case ConfirmSignOff:
+			c.confirmSignOff(a.Worker)
 		case StepDown:
 			c.failover(time.Second)
 		}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -67,15 +67,19 @@
 	Timeout time.Duration
 }
 
+// ConfirmSignOff tells a worker that has signed off that this is recorded.
+type ConfirmSignOff struct{ Worker string }
+
 // StepDown gives up the leadership, since a worker has seen a newer leader.
 type StepDown struct{}
 
-func (Propose) action()    {}
-func (RenewLease) action() {}
-func (Start) action()      {}
-func (Stop) action()       {}
-func (Advise) action()     {}
-func (StepDown) action()   {}
+func (Propose) action()        {}
+func (RenewLease) action()     {}
+func (Start) action()          {}
+func (Stop) action()           {}
+func (Advise) action()         {}
+func (ConfirmSignOff) action() {}
+func (StepDown) action()       {}
 
 // RunningTask is a run that a worker reports as running.
 type RunningTask struct {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -27,6 +27,9 @@
 	maxReportAge = 2500 * time.Millisecond
 	// maxEndsPerReport is the largest number of ends that a worker lists in one report.
 	maxEndsPerReport = 500
+	// signOffMargin is added to the worker's stop timeout: if runs are left by then, the sign-off of
+	// their worker is confirmed without them.
+	signOffMargin = 300 * time.Millisecond
 	// idleWorkerTimeout is how long a worker without claims may send no report or announcement
 	// before its incarnation is considered over. Workers announce themselves at least every few
 	// seconds.
@@ -60,8 +63,12 @@
 	// there is none.
 	uncommittedEnd uint64
 	isLeaving      bool // the worker shuts down and accepts no new tasks
-	isOver         bool // the incarnation is over; nothing more is sent to it
-	health         health
+	// signedOffAt is when the worker said that it ends, 0 if it has not. isSignOffConfirmed is set
+	// once that was confirmed.
+	signedOffAt        time.Duration
+	isSignOffConfirmed bool
+	isOver             bool // the incarnation is over; nothing more is sent to it
+	health             health
 }
 
 // addWorker adds a worker incarnation. leaseEnd is the time by which all leases that earlier
@@ -120,11 +127,53 @@
 	return changed
 }
 
-// SignedOff handles the message of a worker that it shuts down.
-func (s *Scheduler) SignedOff(now time.Duration, name string) {
+// SignedOff handles the message of a worker that it is about to end. Until it has ended, which may
+// be seconds later if the reply is lost, its tasks run on. So they are stopped, and their claims
+// end like those of any other worker. It reports whether a ConfirmSignOff will follow; there is
+// none for a worker that is not known or whose incarnation is over.
+func (s *Scheduler) SignedOff(now time.Duration, name string) bool {
 	s.advanceClock(now)
-	if w := s.workers[s.byName[name]]; w != nil {
+	w := s.workers[s.byName[name]]
+	if w == nil || w.isOver || !s.leading {
+		return false
+	}
+	w.isLeaving, w.isSignOffConfirmed = true, false
+	if w.signedOffAt == 0 {
+		w.signedOffAt = s.now
+		s.record(Decision{Event: "worker signed off", Worker: name, InputAge: s.now - w.reportedAt})
+	}
+	if !w.info.Leaving {
+		info := *w.info
+		info.Leaving = true
+		s.propose(job.Op{RegisterWorker: &info})
+	}
+	for _, c := range w.claims {
+		if !c.isEnding() {
+			s.sendStop(c, "worker signed off")
+		}
+	}
+	s.scanSignOff(w)
+	return true
+}
+
+// scanSignOff ends the incarnation of a worker that has signed off once no claim is left on it. If
+// claims are left when their runs should have been stopped, it confirms the sign-off without them.
+func (s *Scheduler) scanSignOff(w *worker) {
+	switch {
+	case w.signedOffAt == 0 || w.isOver:
+	case len(w.claims) == 0:
 		s.endIncarnation(w, "worker signed off")
+	case w.info.Leaving && s.now >= w.signedOffAt+s.settings.StopTimeout+signOffMargin:
+		s.confirmSignOff(w)
+	}
+}
+
+// confirmSignOff confirms the sign-off of a worker, unless that has been done or it has not signed
+// off. The log says by then that the worker leaves or that its incarnation is over.
+func (s *Scheduler) confirmSignOff(w *worker) {
+	if w.signedOffAt != 0 && !w.isSignOffConfirmed {
+		w.isSignOffConfirmed = true
+		s.actions = append(s.actions, ConfirmSignOff{Worker: w.info.Name})
 	}
 }
 
@@ -229,6 +278,7 @@
 		return
 	}
 	s.loseClaims(w)
+	s.confirmSignOff(w)
 	delete(s.workers, number)
 	s.workersByNumber = nil
 	if s.byName[w.info.Name] == number {
@@ -241,6 +291,7 @@
 func (s *Scheduler) scanWorkers() {
 	firstRenewals := maxFirstRenewals
 	for _, w := range s.workers {
+		s.scanSignOff(w)
 		if w.isOver {
 			if len(w.claims) > 0 && s.now-w.lastSeen > idleWorkerTimeout {
 				s.loseClaims(w)
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -86,6 +86,53 @@
 	}
 }
 
+// leave makes the worker drain, and sign off after a second. It ends when its sign-off is
+// confirmed, or 3 s later without a confirmation. Each sign-off is repeated after a second.
+func (w *fakeWorker) leave() {
+	if !w.isUp || w.info.Leaving {
+		return
+	}
+	w.info.Leaving = true
+	w.cluster.schedule(time.Second, w.signOff)
+	w.cluster.schedule(4*time.Second, w.end)
+}
+
+func (w *fakeWorker) signOff() {
+	if !w.isUp {
+		return
+	}
+	w.cluster.schedule(time.Second, w.signOff)
+	if w.isPartitioned || w.cluster.noLeader {
+		return
+	}
+	if !w.cluster.sched.SignedOff(w.cluster.now, w.info.Name) {
+		w.cluster.schedule(50*time.Millisecond, func() { w.cluster.confirmSignOff(w.info.Name) })
+	}
+	w.cluster.runScheduler()
+}
+
+// confirmSignOff delivers the confirmation of a worker's sign-off. Every second one is lost.
+func (c *cluster) confirmSignOff(name string) {
+	for _, w := range c.workers {
+		if w.info.Name == name && w.info.Leaving && !w.isPartitioned && c.rng.IntN(2) == 0 {
+			c.schedule(c.oneWayDelay(), w.end)
+		}
+	}
+}
+
+// end ends the worker with all its runs. Another one starts at its address later.
+func (w *fakeWorker) end() {
+	if !w.isUp {
+		return
+	}
+	w.isUp = false
+	w.cluster.schedule(2*time.Second, func() {
+		if w.cluster.workers[w.info.Address] == w {
+			w.cluster.addWorker(w.info.Name+"y", w.info.Address, w.info.Capacity)
+		}
+	})
+}
+
 // watchLease checks the lease every 20 ms and ends all runs while it has expired.
 func (w *fakeWorker) watchLease() {
 	if !w.isUp {
