cell: the reply to a submission follows from the state after it was applied

Cause: submit checks the route in the applied state and proposes a Submit that names it. If a configuration that was proposed before removes the route, applying the Submit stores nothing. The callback knew only that the entry was committed, and answered OK.

Change: after the entry is applied, each waiting call is answered from the stored job: OK on its own route, Conflict on another one. If the job is not stored, the call is served again from the present state. Calls with the same id on two routes at once no longer share an answer. "job accepted" is logged for stored jobs only.

Why it works: OK is said only of a job that is in the state, and 404 only after an entry that stored nothing.

--- a/cell/host.go
+++ b/cell/host.go
@@ -27,8 +27,8 @@
 	pendingOps       []job.Op
 	pendingCallbacks []func(committed bool)
 	proposals        map[uint64]proposal // by log index
-	// submitting holds the callbacks of the calls that wait for a job's Submit to commit.
-	submitting map[job.ID][]func(committed bool)
+	// submitting holds the calls that wait for a job's Submit to be applied.
+	submitting map[job.ID][]submission
 	// signOffs holds the callbacks of the sign-offs that the scheduler has not confirmed, by worker.
 	signOffs map[string][]func(Reply)
 	// lastSeen is when each VM, by address, was last heard from while this replica is the
@@ -47,7 +47,7 @@
 
 func newReplicaHost(n *Node) *replicaHost {
 	h := &replicaHost{node: n, state: job.NewState(), proposals: map[uint64]proposal{},
-		submitting: map[job.ID][]func(bool){}, signOffs: map[string][]func(Reply){}, lastSeen: map[string]time.Duration{}}
+		submitting: map[job.ID][]submission{}, signOffs: map[string][]func(Reply){}, lastSeen: map[string]time.Duration{}}
 	h.scheduler = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log, n.metrics))
 	return h
 }
@@ -79,7 +79,7 @@
 // configurations and members.
 func (h *replicaHost) logApplied(op job.Op) {
 	switch {
-	case op.Submit != nil && h.epoch != 0:
+	case op.Submit != nil && h.epoch != 0 && h.state.Job(op.Submit.ID) != nil:
 		spec := &op.Submit.Spec
 		h.node.log.Info("job accepted", zap.Stringer("job", op.Submit.ID), zap.String("route", op.Submit.Queue),
 			zap.Array("steps", stepsField(spec.Steps)), zap.Int("repetitions", spec.Repetitions), zap.Int64("version", h.state.Config().Version))
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/oleanderchute/oleanderchute/job"
 	"github.com/oleanderchute/oleanderchute/replica"
 )
@@ -57,7 +59,7 @@
 	}
 	switch c.Kind {
 	case SubmitJob:
-		h.submit(id, q, c.Spec, done)
+		h.submit(id, q, c, done)
 	case CancelJob:
 		h.cancel(id, q, done)
 	default:
@@ -76,36 +78,64 @@
 	}
 }
 
-func (h *replicaHost) submit(id job.ID, q *job.Queue, spec *job.Spec, done func(Reply)) {
+// submission is a call that waits for the Submit of its job to be applied.
+type submission struct {
+	call  Call
+	queue string // that the call selected
+	done  func(Reply)
+}
+
+// submit replies when the job is stored. It serves the call again if a configuration that was applied
+// before the Submit has removed its queue, in which case the Submit has stored nothing.
+func (h *replicaHost) submit(id job.ID, q *job.Queue, c Call, done func(Reply)) {
+	s := submission{c, q.Name, done}
 	if j := h.state.Job(id); j != nil {
-		if j.Queue.Name != q.Name {
-			done(Reply{Code: Conflict, Text: "this id is in use on another route"})
-			return
-		}
-		done(Reply{Code: OK})
+		s.reply(j)
 		return
 	}
-	if spec == nil {
+	if c.Spec == nil {
 		done(Reply{Code: BadCall, Text: "the job is missing"})
 		return
 	}
-	if err := spec.Check(); err != nil {
+	if err := c.Spec.Check(); err != nil {
 		done(Reply{Code: BadCall, Text: err.Error()})
 		return
 	}
-	onCommit := replyOnCommit(done, Reply{Code: OK})
 	if waiters, ok := h.submitting[id]; ok {
-		h.submitting[id] = append(waiters, onCommit)
+		h.submitting[id] = append(waiters, s)
 		return
 	}
-	h.submitting[id] = []func(bool){onCommit}
-	h.propose(func(committed bool) {
-		waiters := h.submitting[id]
-		delete(h.submitting, id)
-		for _, w := range waiters {
-			w(committed)
+	h.submitting[id] = []submission{s}
+	h.propose(func(committed bool) { h.submitApplied(id, committed) },
+		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli()}})
+}
+
+// submitApplied replies to the calls that wait for a job's Submit, from the state after it.
+func (h *replicaHost) submitApplied(id job.ID, committed bool) {
+	waiters := h.submitting[id]
+	delete(h.submitting, id)
+	for _, s := range waiters {
+		j := h.state.Job(id)
+		switch {
+		case !committed:
+			s.done(Reply{Code: Interrupted})
+		case j != nil:
+			s.reply(j)
+		default:
+			h.node.log.Info("job not stored; its route was removed meanwhile", zap.Stringer("job", id),
+				zap.String("route", s.queue), zap.Int64("version", h.state.Config().Version))
+			h.serve(h.node.eventLoop.Now(), s.call, s.done)
 		}
-	}, job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *spec, AcceptedMillis: time.Now().UnixMilli()}})
+	}
+}
+
+// reply replies from the stored job with the call's ID.
+func (s submission) reply(j *job.Job) {
+	if j.Queue.Name != s.queue {
+		s.done(Reply{Code: Conflict, Text: "this id is in use on another route"})
+		return
+	}
+	s.done(Reply{Code: OK})
 }
 
 func (h *replicaHost) cancel(id job.ID, q *job.Queue, done func(Reply)) {
