dispatch, job: an announcement does not end the runs of another incarnation

Cause: registering an incarnation removed every other one with its name or address, and the claims of a removed incarnation ended as lost at once, though the worker answered and its lease was valid. Anyone may send an announcement, and a delayed one may arrive at any time.

Change: incarnations with the same name or address stand side by side until the worker itself shows which one runs: by its first report to the later one, or by answering for another name or start. Notices of leaving are looked up by incarnation. An announcement for a pool that the configuration does not have is refused with 400. Claims whose start may have reached the next incarnation are kept for the longest lease until it has reported, and keep the earlier one registered, so that a new leader does not end them either.

Why it works: a claim ends as lost only when the lease has certainly ended or the worker has shown a later incarnation.

TestLateAnnouncementOfEarlierIncarnationIsIgnored expected the faulty removal. It now deregisters the earlier incarnation as the leader does, and makes the same check of the late announcement.

Replicas with and without this change must not be mixed.

--- a/cell/serve.go
+++ b/cell/serve.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/oleanderchute/oleanderchute/dispatch"
 	"github.com/oleanderchute/oleanderchute/job"
 	"github.com/oleanderchute/oleanderchute/replica"
 )
@@ -197,11 +198,14 @@
 		done(Reply{Code: BadCall, Text: "the announcement is missing"})
 		return
 	}
-	if h.scheduler.Announced(now, *c.Announcement) {
+	switch h.scheduler.Announced(now, *c.Announcement) {
+	case dispatch.AnnouncementRefused:
+		done(Reply{Code: BadCall, Text: "the configuration has no pool " + c.Announcement.Worker.Pool})
+	case dispatch.AnnouncementProposed:
 		h.propose(replyOnCommit(done, reply))
-		return
+	default:
+		done(reply)
 	}
-	done(reply)
 }
 
 // signOff replies when the scheduler has recorded the sign-off, or at once if it does not know the
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -47,6 +47,7 @@
 type claim struct {
 	key        claimKey
 	worker     *worker
+	origin     *worker   // the incarnation that the log names, if the claim was moved to its successor
 	step       *job.Step // nil if the job is not known
 	phase      claimPhase
 	checkpoint string // newest known checkpoint, empty if there is none
@@ -117,6 +118,9 @@
 func (s *Scheduler) removeClaim(c *claim) {
 	delete(s.claims, c.key)
 	delete(c.worker.claims, c.key)
+	if c.origin != nil {
+		c.origin.movedClaims--
+	}
 	if c.step != nil {
 		s.allocatedCPU[c.poolPriority] -= c.allocation().MilliCPU
 		c.worker.allocated = c.worker.allocated.Minus(c.step.Allocation())
--- /dev/null
+++ b/dispatch/incarnation_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+// Guards against an announcement that ends the runs of a worker that runs and answers. Whatever name,
+// address and start time it has, it may be delayed or come from something that is no worker.
+func TestAnnouncementEndsNoRuns(t *testing.T) {
+	for _, test := range []struct {
+		name, address string // of the announcement; empty for those of the worker
+		later         int64  // how much later it says that it started, in milliseconds
+	}{
+		{name: "other"}, {name: "other", later: 1000}, {name: "other", later: -1000},
+		{later: 1000}, {later: -1000}, {address: "10.9.9.9:80"}, {address: "10.9.9.9:80", later: 1000},
+	} {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
+			c := qt.New(t)
+			k, w := newClusterWithRuns(c)
+			info := w.info
+			info.StartedMillis += test.later
+			if test.name != "" {
+				info.Name = test.name
+			}
+			if test.address != "" {
+				info.Address = test.address
+			}
+			k.sched.Announced(k.now, Announcement{Worker: info, Sequence: 9})
+			k.run(k.now + 30*time.Second)
+			c.Assert(k.violations, qt.HasLen, 0, qt.Commentf("%s", k.traceOf("")))
+			c.Assert(k.openJobCount(), qt.Equals, 0, qt.Commentf("%s", k.openTrace()))
+			c.Assert(k.traceOf("placed"), qt.Contains, "run 1")
+			c.Assert(k.traceOf("placed"), qt.Not(qt.Contains), "run 2")
+			c.Assert(k.sched.workers, qt.HasLen, 2, qt.Commentf("the announced incarnation is still registered"))
+		})
+	}
+}
+
+// Guards against the notice of a worker that it leaves, and against its sign-off, being taken for
+// those of an incarnation that only has its name.
+func TestWorkerLeavesBesideAnAnnouncementOfItsName(t *testing.T) {
+	c := qt.New(t)
+	k, w := newClusterWithRuns(c)
+	info := w.info
+	info.StartedMillis, info.Address = info.StartedMillis+1000, "10.9.9.9:80"
+	k.sched.Announced(k.now, Announcement{Worker: info, Sequence: 9})
+	k.run(k.now + 200*time.Millisecond)
+	w.leave()
+	k.run(k.now + 900*time.Millisecond)
+	k.sched.Announced(k.now, Announcement{Worker: w.info, Sequence: 10})
+	k.run(k.now + 50*time.Millisecond)
+	c.Assert(k.sched.newest(w.info.Name).info.Address, qt.Equals, w.info.Address)
+	c.Assert(k.sched.newest(w.info.Name).isLeaving, qt.IsTrue)
+	k.run(k.now + 20*time.Second)
+	c.Assert(k.violations, qt.HasLen, 0)
+	c.Assert(k.traceOf("worker signed off"), qt.Not(qt.Equals), "")
+}
+
+// Guards against tasks of a crashed worker that wait for the end of its lease although another
+// incarnation at its address has reported.
+func TestNextIncarnationEndsTheRunsOfTheCrashedOne(t *testing.T) {
+	for _, name := range []string{"the same name", "another name"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			k, w := newClusterWithRuns(c)
+			next := w.info.Name
+			if name == "another name" {
+				next += "x"
+			}
+			k.addWorker(next, w.info.Address, workerCapacity)
+			k.run(k.now + time.Second)
+			c.Assert(k.violations, qt.HasLen, 0)
+			c.Assert(k.traceOf("placed"), qt.Contains, "run 2")
+		})
+	}
+}
+
+// Guards against registering an announcement for a pool that the configuration does not have. Before
+// there is a configuration, workers may announce themselves already.
+func TestAnnouncementForUnknownPoolIsRefused(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.run(time.Second)
+	announced := func(name string) AnnounceResult {
+		info := job.Worker{Name: name, Address: name + ":80", Pool: "monitor", Capacity: workerCapacity}
+		return k.sched.Announced(k.now, Announcement{Worker: info})
+	}
+	c.Assert(announced("early"), qt.Equals, AnnouncementProposed)
+	k.setUp(1, false)
+	c.Assert(announced("late"), qt.Equals, AnnouncementRefused)
+}
+
+// Guards against placing a task again while it runs on a worker's next incarnation, which a start for
+// the previous one reached and which then was cut off. The lease there counts from another clock.
+func TestStartThatReachesTheNextIncarnationIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	reached := 0
+	for seed := range uint64(20) {
+		k := newCluster(seed, faults{})
+		k.setUp(2, false)
+		k.run(2 * time.Second)
+		k.submit(1, newStep(1, 1000, 1000))
+		for k.traceOf("placed") == "" {
+			k.run(k.now + time.Millisecond)
+		}
+		var next *fakeWorker
+		for address, w := range k.workers {
+			if k.sched.newest(w.info.Name).allocated != (job.Resources{}) {
+				next = k.addWorker(w.info.Name, address, workerCapacity)
+			}
+		}
+		for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
+			k.run(k.now + time.Millisecond)
+		}
+		if len(next.runs) > 0 {
+			reached++
+		}
+		next.isPartitioned = true
+		k.schedule(taskLease-700*time.Millisecond, func() { next.isPartitioned = false })
+		k.run(k.now + 20*time.Second)
+		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
+	}
+	c.Assert(reached > 0, qt.IsTrue)
+}
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -51,8 +51,8 @@
 
 // Guards against simultaneous runs of a task, starts beyond a worker's capacity, before a step's
 // dependencies or after a task's end, ends that are acknowledged but not in the log, and jobs that
-// never end. Orders are lost or delayed, workers crash, restart, sign off and are partitioned, and
-// leaders change.
+// never end. Orders are lost or delayed, workers crash, restart, sign off and are partitioned,
+// something that is no worker announces itself with their names and addresses, and leaders change.
 func TestTasksRunOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -74,11 +74,16 @@
 		for range rapid.IntRange(0, 5).Draw(rt, "faults") {
 			at := time.Duration(rapid.IntRange(0, 9000).Draw(rt, "at")) * time.Millisecond
 			address := fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, workers-1).Draw(rt, "worker"))
-			switch rapid.SampledFrom([]string{"crash", "partition", "failover", "rename", "failing", "leave"}).Draw(rt, "kind") {
+			switch rapid.SampledFrom([]string{"crash", "partition", "failover", "rename", "failing", "leave", "foreign"}).Draw(rt, "kind") {
 			case "crash":
 				c.schedule(at, func() { c.addWorker(c.workers[address].info.Name, address, workerCapacity) })
 			case "rename":
 				c.schedule(at, func() { c.addWorker(c.workers[address].info.Name+"x", address, workerCapacity) })
+			case "foreign":
+				born := rapid.SampledFrom([]int64{-1000, 0, 1, 1_000_000}).Draw(rt, "born")
+				name := rapid.SampledFrom([]string{"", "other"}).Draw(rt, "name")
+				isElsewhere := rapid.Bool().Draw(rt, "elsewhere")
+				c.schedule(at, func() { c.announceForeign(c.workers[address], name, born, isElsewhere) })
 			case "leave":
 				c.schedule(at, func() { c.workers[address].leave() })
 			case "partition":
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -40,8 +40,8 @@
 	ops        []job.Op // operations of the next Propose
 
 	workers         map[uint32]*worker
-	byName          map[string]uint32 // number of the newest incarnation of each name
-	workersByNumber []*worker         // cache of sortedWorkers, nil if it has to be rebuilt
+	byName          map[string][]*worker // the incarnations of each name
+	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
 	claims          map[claimKey]*claim
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
@@ -89,7 +89,7 @@
 // Reset drops the soft state, because the node has lost the leadership or restored a snapshot.
 func (s *Scheduler) Reset(state *job.State) {
 	s.state, s.leading = state, false
-	s.workers, s.byName, s.workersByNumber = map[uint32]*worker{}, map[string]uint32{}, nil
+	s.workers, s.byName, s.workersByNumber = map[uint32]*worker{}, map[string][]*worker{}, nil
 	s.claims, s.proposedClaims = map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
--- a/dispatch/signoff_test.go
+++ b/dispatch/signoff_test.go
@@ -50,7 +50,7 @@
 			w.isPartitioned = !answers
 			signedOffAt := k.now
 			c.Assert(k.sched.SignedOff(k.now, w.info.Name), qt.IsTrue)
-			state := k.sched.workers[k.sched.byName[w.info.Name]]
+			state := k.sched.newest(w.info.Name)
 			for !state.isSignOffConfirmed && k.now < signedOffAt+2*time.Second {
 				k.run(k.now + 5*time.Millisecond)
 			}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -68,18 +68,51 @@
 	signedOffAt        time.Duration
 	isSignOffConfirmed bool
 	isOver             bool // the incarnation is over; nothing more is sent to it
-	health             health
+	isDeregistered     bool // its end was proposed
+	// movedClaims is the number of its claims that are now on its successor. Until they have ended,
+	// the incarnation stays registered, since the log names it as their worker.
+	movedClaims int
+	health      health
 }
 
 // addWorker adds a worker incarnation. leaseEnd is the time by which all leases that earlier
 // leaders granted have expired.
 func (s *Scheduler) addWorker(info *job.Worker, leaseEnd time.Duration) *worker {
 	w := &worker{info: info, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, reserved: map[job.StepRef]job.Resources{}, lastSeen: s.now, isLeaving: info.Leaving}
+	for _, other := range s.byName[info.Name] {
+		s.expectSuccessor(other, w)
+	}
 	s.workers[info.Number], s.workersByNumber = w, nil
-	s.byName[info.Name] = info.Number
+	s.byName[info.Name] = append(s.byName[info.Name], w)
 	return w
 }
 
+// expectSuccessor extends the lease of the earlier of two incarnations that may be lives of one
+// worker. Starts for the earlier one may have reached the later one, where their leases, computed
+// from the clock of the earlier one, may last as long as the longest lease that workers grant.
+func (s *Scheduler) expectSuccessor(a, b *worker) {
+	if a.info.Address != b.info.Address {
+		return
+	}
+	if b.info.StartedMillis < a.info.StartedMillis {
+		a = b
+	}
+	a.leaseEnd = max(a.leaseEnd, s.now+s.maxElapsed(s.settings.MaxLease))
+}
+
+// newest returns the incarnation of a name that started last, of those that have reported in this
+// term if there are any; nil if the name is not known.
+func (s *Scheduler) newest(name string) *worker {
+	var found *worker
+	for _, w := range s.byName[name] {
+		if found == nil || w.hasReported && !found.hasReported ||
+			w.hasReported == found.hasReported && w.info.StartedMillis > found.info.StartedMillis {
+			found = w
+		}
+	}
+	return found
+}
+
 // free returns the capacity that is not allocated.
 func (w *worker) free() job.Resources { return w.info.Capacity.Minus(w.allocated) }
 
@@ -95,36 +128,55 @@
 	Sequence    uint64 // increases with each announcement of an incarnation
 }
 
-// Announced handles an announcement. It reports whether it proposed an operation that has to
-// be committed before the announcement is acknowledged.
-func (s *Scheduler) Announced(now time.Duration, a Announcement) bool {
+// AnnounceResult is the result of an announcement.
+type AnnounceResult uint8
+
+// The results of an announcement.
+const (
+	AnnouncementNoted    AnnounceResult = iota + 1
+	AnnouncementProposed                // an operation has to be committed before the reply
+	AnnouncementRefused                 // the configuration has no pool of that name
+)
+
+// Announced handles an announcement. It may be delayed or come from something that is no worker, so
+// it does not end another incarnation: the worker itself shows which one runs.
+func (s *Scheduler) Announced(now time.Duration, a Announcement) AnnounceResult {
 	s.advanceClock(now)
 	if !s.leading {
-		return false
+		return AnnouncementNoted
 	}
-	w := s.workers[s.byName[a.Worker.Name]]
-	if w == nil || !w.info.SameIncarnation(&a.Worker) {
-		if w != nil && w.info.StartedMillis > a.Worker.StartedMillis {
-			return false // delayed announcement of an earlier incarnation
-		}
-		info := a.Worker
-		s.propose(job.Op{RegisterWorker: &info})
-		return true
+	i := slices.IndexFunc(s.byName[a.Worker.Name], func(w *worker) bool { return w.info.SameIncarnation(&a.Worker) })
+	if i < 0 {
+		return s.announcedNew(a.Worker)
 	}
+	w := s.byName[a.Worker.Name][i]
 	w.lastSeen = s.now
 	if a.Sequence < w.announcementSequence {
-		return false
+		return AnnouncementNoted
 	}
 	w.announcementSequence = a.Sequence
 	changed := a.Worker.Leaving && !w.info.Leaving
-	if a.Worker.Leaving {
-		w.isLeaving = true
+	if !changed {
+		return AnnouncementNoted
 	}
-	if changed {
-		info := a.Worker
-		s.propose(job.Op{RegisterWorker: &info})
+	w.isLeaving = true
+	s.propose(job.Op{RegisterWorker: &a.Worker})
+	return AnnouncementProposed
+}
+
+// announcedNew proposes to register an incarnation that is not known.
+func (s *Scheduler) announcedNew(info job.Worker) AnnounceResult {
+	if s.state.Config().Version > 0 && s.state.Pool(info.Pool) == nil {
+		s.record(Decision{Event: "announcement refused", Worker: info.Name, Reason: "no pool " + info.Pool, ConfigVersion: s.state.Config().Version})
+		return AnnouncementRefused
 	}
-	return changed
+	for _, w := range s.workers {
+		if w.hasReported && !w.isOver && w.info.StartedMillis > info.StartedMillis && w.info.Conflicts(&info) {
+			return AnnouncementNoted // delayed; a later incarnation runs
+		}
+	}
+	s.propose(job.Op{RegisterWorker: &info})
+	return AnnouncementProposed
 }
 
 // SignedOff handles the message of a worker that it is about to end. Until it has ended, which may
@@ -133,7 +185,7 @@
 // none for a worker that is not known or whose incarnation is over.
 func (s *Scheduler) SignedOff(now time.Duration, name string) bool {
 	s.advanceClock(now)
-	w := s.workers[s.byName[name]]
+	w := s.newest(name)
 	if w == nil || w.isOver || !s.leading {
 		return false
 	}
@@ -177,20 +229,29 @@
 	}
 }
 
-// endIncarnation proposes to deregister a worker incarnation and to end its runs as lost.
+// endIncarnation proposes to deregister a worker incarnation and to end its runs as lost. The caller
+// is certain that none of them runs, or can still start.
 func (s *Scheduler) endIncarnation(w *worker, reason string) {
-	if w.isOver {
-		return
+	if !w.isOver {
+		s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: reason, InputAge: s.now - w.reportedAt})
+		w.isOver = true
 	}
-	s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: reason, InputAge: s.now - w.reportedAt})
 	s.loseClaims(w)
-	s.propose(job.Op{DeregisterWorker: w.info.Number})
-	w.isOver = true
+	s.deregister(w)
+}
+
+// deregister proposes to deregister an incarnation that is over, unless some of its claims are on
+// its successor.
+func (s *Scheduler) deregister(w *worker) {
+	if !w.isDeregistered && w.movedClaims == 0 {
+		w.isDeregistered = true
+		s.propose(job.Op{DeregisterWorker: w.info.Number})
+	}
 }
 
-// workerRestarted handles a report that shows that the worker has restarted under its name,
-// before the new incarnation has announced itself. Orders in flight to the old incarnation
-// reach the new one, so the claims whose starts may be among them are kept.
+// workerRestarted handles a report that shows that the worker has restarted under its name. Orders
+// in flight to the old incarnation reach the new one, so the claims whose starts may be among them
+// are kept until the new one has reported.
 func (s *Scheduler) workerRestarted(w *worker) {
 	if w.isOver {
 		return
@@ -204,6 +265,21 @@
 	}
 }
 
+// endEarlierIncarnations ends the incarnations before one that has reported for the first time in
+// this term. The report comes from the worker itself, at the address to which it was sent.
+func (s *Scheduler) endEarlierIncarnations(w *worker) {
+	for _, old := range s.workers {
+		switch {
+		case old == w || old.info.StartedMillis >= w.info.StartedMillis || !old.info.Conflicts(w.info):
+		case old.info.Name == w.info.Name && old.info.Address == w.info.Address:
+			s.workerRestarted(old)
+			s.transferClaims(old, w)
+		default:
+			s.endIncarnation(old, "a later incarnation has reported")
+		}
+	}
+}
+
 // transferClaims moves the claims whose starts may still reach the new incarnation of a worker
 // to that incarnation, and stops their runs there, so that it refuses a delayed copy of a start.
 func (s *Scheduler) transferClaims(old, successor *worker) {
@@ -211,12 +287,15 @@
 		if c.phase == claimProposed || !c.mayStartInSuccessor() {
 			continue
 		}
-		// The order's lease was computed from the clock of the old incarnation, so on the new
-		// one it may last as long as the longest lease that workers grant.
-		successor.leaseEnd = max(successor.leaseEnd, s.now+s.maxElapsed(s.settings.MaxLease))
+		successor.leaseEnd = max(successor.leaseEnd, s.now+s.maxElapsed(s.settings.MaxLease)) // see expectSuccessor
+		origin := c.origin
+		if origin == nil {
+			origin = old
+		}
+		origin.movedClaims++ // before the claim is removed from it
 		s.removeClaim(c)
 		moved := s.addClaim(c.key.task, c.key.run, successor, c.step, claimSent)
-		moved.checkpoint, moved.startMayArrive = c.checkpoint, true
+		moved.checkpoint, moved.startMayArrive, moved.origin = c.checkpoint, true, origin
 		s.sendStop(moved, "its worker started again under its name")
 	}
 }
@@ -247,18 +326,9 @@
 			w.info, w.isLeaving = info, w.isLeaving || info.Leaving
 			return
 		}
-		old := s.workers[s.byName[info.Name]]
-		successor := s.addWorker(info, s.now)
+		s.addWorker(info, s.now)
 		s.record(Decision{Event: "worker registered", Worker: info.Name, Reason: missingRack(info)})
-		if old != nil && old.info.Address == info.Address {
-			s.transferClaims(old, successor)
-		}
 	})
-	for number := range s.workers {
-		if s.state.Worker(number) == nil {
-			s.removeWorker(number)
-		}
-	}
 }
 
 // missingRack says that a worker has no rack: steps that need one rack, or data in one, treat it
@@ -281,7 +351,8 @@
 	s.confirmSignOff(w)
 	delete(s.workers, number)
 	s.workersByNumber = nil
-	if s.byName[w.info.Name] == number {
+	s.byName[w.info.Name] = slices.DeleteFunc(s.byName[w.info.Name], func(other *worker) bool { return other == w })
+	if len(s.byName[w.info.Name]) == 0 {
 		delete(s.byName, w.info.Name)
 	}
 }
@@ -296,6 +367,9 @@
 			if len(w.claims) > 0 && s.now-w.lastSeen > idleWorkerTimeout {
 				s.loseClaims(w)
 			}
+			if len(w.claims) == 0 {
+				s.deregister(w)
+			}
 			continue
 		}
 		if w.failedRenewals > 0 && s.now >= w.leaseEnd && len(w.claims) > 0 {
@@ -378,6 +452,9 @@
 	}
 	w.failedRenewals, w.reportedAt, w.lastSeen, w.nextRenewal = 0, s.now, s.now, s.now
 	s.recordClock(w, r.ClockMillis)
+	if !w.hasReported && r.StartedMillis != 0 {
+		s.endEarlierIncarnations(w)
+	}
 	s.reconcile(w, requestedAt, r)
 	w.hasReported = true
 	s.needsPass = true
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -86,6 +86,30 @@
 	}
 }
 
+// announceForeign announces, three times, an incarnation that does not exist and that has the name
+// or the address of a worker, or both. born is relative to the start of the worker.
+func (c *cluster) announceForeign(w *fakeWorker, name string, born int64, isElsewhere bool) {
+	info := w.info
+	info.StartedMillis += born
+	if name != "" {
+		info.Name = name
+	}
+	if isElsewhere {
+		info.Address = "10.9.9.9:80"
+	}
+	if info.SameIncarnation(&w.info) {
+		return
+	}
+	for i := range 3 {
+		c.schedule(time.Duration(i)*700*time.Millisecond, func() {
+			if !c.noLeader {
+				c.sched.Announced(c.now, Announcement{Worker: info, ClockMillis: 1, Sequence: uint64(i)})
+				c.runScheduler()
+			}
+		})
+	}
+}
+
 // leave makes the worker drain, and sign off after a second. It ends when its sign-off is
 // confirmed, or 3 s later without a confirmation. Each sign-off is repeated after a second.
 func (w *fakeWorker) leave() {
--- a/job/record.go
+++ b/job/record.go
@@ -168,6 +168,10 @@
 	return w.Name == o.Name && w.StartedMillis == o.StartedMillis && w.Address == o.Address
 }
 
+// Conflicts reports whether at most one of two incarnations can run now, since they have the same
+// name or the same address.
+func (w *Worker) Conflicts(o *Worker) bool { return w.Name == o.Name || w.Address == o.Address }
+
 // Member is a VM that holds a replica of the cell.
 type Member struct {
 	Address       string `cbor:"1,keyasint"` // for calls between VMs
--- a/job/state.go
+++ b/job/state.go
@@ -128,25 +128,21 @@
 	}
 }
 
-// registerWorker registers a new incarnation of a worker, which ends the earlier incarnations of
-// its name and at its address, or updates a known incarnation.
+// registerWorker registers a new incarnation of a worker or updates a known one. It ends no other
+// incarnation, since anyone may have sent the announcement; DeregisterWorker does. An announcement
+// that is older than the incarnation at its address is a delayed one.
 func (s *State) registerWorker(w Worker) {
 	for n, old := range s.workers {
-		switch {
-		case old.SameIncarnation(&w):
+		if old.SameIncarnation(&w) {
 			w.Number = n
 			w.Leaving = w.Leaving || old.Leaving
 			s.workers[n] = &w
 			return
-		case old.Name == w.Name || old.Address == w.Address:
-			if old.StartedMillis > w.StartedMillis {
-				return // a delayed announcement of an earlier incarnation
-			}
 		}
 	}
-	for n, old := range s.workers {
-		if old.Name == w.Name || old.Address == w.Address {
-			delete(s.workers, n)
+	for _, old := range s.workers {
+		if old.Address == w.Address && old.StartedMillis > w.StartedMillis {
+			return
 		}
 	}
 	s.lastWorker++
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -82,14 +82,36 @@
 	c.Assert(other.Config().Version, qt.Equals, int64(1))
 }
 
+// workerNames returns the names of the registered incarnations by number.
+func workerNames(s *State) map[uint32]string {
+	names := map[uint32]string{}
+	s.Workers(func(w *Worker) { names[w.Number] = w.Name })
+	return names
+}
+
 // Guards against a delayed announcement of an earlier incarnation that replaces the current one.
 func TestLateAnnouncementOfEarlierIncarnationIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	s := NewState()
-	s.Apply(Op{RegisterWorker: &Worker{Name: "w", StartedMillis: 3, Address: "a:1"}})
+	early := Op{RegisterWorker: &Worker{Name: "w", StartedMillis: 3, Address: "a:1"}}
+	s.Apply(early)
 	s.Apply(Op{RegisterWorker: &Worker{Name: "w2", StartedMillis: 9, Address: "a:1"}})
+	s.Apply(early)
+	c.Assert(workerNames(s), qt.DeepEquals, map[uint32]string{1: "w", 2: "w2"})
+	s.Apply(Op{DeregisterWorker: 1})
+	s.Apply(early)
+	c.Assert(workerNames(s), qt.DeepEquals, map[uint32]string{2: "w2"})
+}
+
+// Guards against an announcement that ends another incarnation with its name or address. It may
+// come from something that is no worker.
+func TestRegistrationEndsNoOtherIncarnation(t *testing.T) {
+	c := qt.New(t)
+	s := NewState()
 	s.Apply(Op{RegisterWorker: &Worker{Name: "w", StartedMillis: 3, Address: "a:1"}})
-	n := 0
-	s.Workers(func(w *Worker) { n++; c.Assert(w.Name, qt.Equals, "w2") })
-	c.Assert(n, qt.Equals, 1)
+	s.Apply(Op{RegisterWorker: &Worker{Name: "other", StartedMillis: 9, Address: "a:1"}})
+	s.Apply(Op{RegisterWorker: &Worker{Name: "w", StartedMillis: 9, Address: "b:1"}})
+	s.Apply(Op{RegisterWorker: &Worker{Name: "w", StartedMillis: 9, Address: "a:1"}})
+	c.Assert(workerNames(s)[1], qt.Equals, "w")
+	c.Assert(s.Worker(1).StartedMillis, qt.Equals, int64(3))
 }
