--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -241,6 +241,21 @@
 	s.removeClaim(c)
 }
 
+// loseClaims proposes to end all committed claims on a worker as lost, and releases them.
+func (s *Scheduler) loseClaims(w *worker) {
+	for _, c := range w.claims {
+		if c.phase != claimProposed {
+			s.loseClaim(c)
+		}
+	}
+}
+
+// loseClaim proposes to end a claim as lost, and releases it.
+func (s *Scheduler) loseClaim(c *claim) {
+	s.proposeEnd(c.key.task, c.key.run, job.EndLost, c.checkpoint)
+	s.removeClaim(c)
+}
+
 // sendStop orders a worker to stop a run. It does nothing for a claim that is not committed:
 // claimApplied removes the claim if its job has ended by the time it is applied.
 func (s *Scheduler) sendStop(c *claim, reason string) {
