replica: a busy group compacts its log

Cause: ProcessReady compacted the log only when no batch was being saved after it had started the next one. A leader under load has a batch on each pass, so it never compacted.

With group.go before this change TestBusyGroupCompactsItsLog fails: 8,193 entries applied, 0 compacted.

Change: compact before the next batch is saved, and log it.

Why it works: each pass without a save in flight looks at the compaction first.

Tests of replica, raft, cell and server pass.

--- a/replica/group.go
+++ b/replica/group.go
@@ -121,14 +121,15 @@
 	<-g.storeClosed
 }
 
-// ProcessReady processes Ready batches until there are none or one must be saved first. It
-// also compacts the log when that is due. While a batch is being saved, it sends the messages
-// that need not wait for that.
+// ProcessReady compacts the log when that is due, and processes Ready batches until there are none
+// or one must be saved first. While a batch is being saved, it sends the messages that need not
+// wait for that.
 func (g *Group) ProcessReady(now time.Duration) {
 	if g.saving {
 		g.continueSaving(now)
 		return
 	}
+	g.maybeCompact(now) // before the next batch, since a busy group always has one to save
 	for !g.saving && !g.storageFailed {
 		ready, ok := g.Node.Ready()
 		if !ok {
@@ -142,7 +143,6 @@
 		request.done = func(err error) { g.eventLoop.Post(func() { g.onSaved(request, err) }) }
 		g.startSaving(now, request)
 	}
-	g.maybeCompact(now)
 }
 
 // startSaving passes a request to the storage goroutine.
@@ -275,6 +275,8 @@
 		g.log.Debug("log not compacted", zap.Error(err))
 		return
 	}
+	g.log.Info("log compacted", zap.Uint64("index", snap.Index), zap.Uint64("entries", snap.Index-previous), zap.Int("bytes", len(snap.Data)),
+		zap.Duration("took", g.eventLoop.Now()-now))
 	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) { g.eventLoop.Post(func() { g.onCompacted(previous, err) }) }})
 }
 
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -219,3 +219,32 @@
 	g.on(second, func(time.Duration) { want = append(want, second.applied.entries...) })
 	g.awaitApplied(first, want...)
 }
+
+// Guards against a log that is never compacted because the group always has a batch to save: it
+// fills the disk, and a replica that lost its disk has to apply all of it before it can vote.
+func TestBusyGroupCompactsItsLog(t *testing.T) {
+	c := qt.New(t)
+	loop := NewEventLoop() // not run; the test handles its events
+	id := raft.NodeID("vm1#1")
+	node := raft.New(raft.Config{ID: id, Group: "g", Voters: []raft.NodeID{id}}, raft.PersistentState{}, 0)
+	g := NewGroup("g", node, storage.NewMemoryStore(), &entryLog{}, loop, func(raft.Message) {}, zap.NewNop())
+	defer g.Stop()
+	pass := func(now time.Duration) {
+		g.Node.Tick(now)
+		g.ProcessReady(now)
+		for g.saving {
+			(<-loop.events)()
+		}
+	}
+	now := time.Duration(0)
+	for ; g.Node.Role() != raft.RoleLeader && now < time.Minute; now += tickInterval {
+		pass(now)
+	}
+	for range 2 * compactionInterval {
+		_, _, err := g.Node.Propose(now, []byte("entry"))
+		c.Assert(err, qt.IsNil)
+		pass(now)
+	}
+	c.Assert(g.appliedIndex > compactionInterval, qt.IsTrue)
+	c.Assert(g.appliedIndex-g.compactedIndex <= compactionInterval, qt.IsTrue, qt.Commentf("%d entries applied, %d compacted", g.appliedIndex, g.compactedIndex))
+}
