dispatch: a quarantined worker runs the members of one gang together

Cause: a quarantined worker gets one run at a time until a run is done. A gang whose members fit on quarantined workers only needs all of them at once, so it was never placed, and with no other work the quarantine never ended.

Change: the members of one gang count as one run of a quarantined worker.

Why it works: a quarantined worker that runs nothing accepts any step again.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -33,15 +33,24 @@
 // canSchedule reports whether new tasks may be placed on the worker.
 func (h *health) canSchedule(now time.Duration) bool { return now >= h.blockedUntil }
 
-// maxNewRuns returns how many runs may be placed on the worker in addition to its present ones.
-// A worker that was quarantined gets one run at a time until a run is done.
-func (w *worker) maxNewRuns() int {
-	if w.health.quarantine == 0 {
+// maxNewRuns returns how many runs of a step may be placed on the worker in addition to its present
+// ones. A worker that was quarantined gets one run at a time until a run is done, or the members of
+// one gang, which are done or fail as one.
+func (w *worker) maxNewRuns(step *job.Step) int {
+	switch {
+	case w.health.quarantine == 0:
+		return math.MaxInt
+	case len(w.claims) > 0:
+		return 0
+	case step.Gang:
 		return math.MaxInt
 	}
-	return max(1-len(w.claims), 0)
+	return 1
 }
 
+// acceptsRuns reports whether the quarantine of the worker, if it is in one, allows another run.
+func (w *worker) acceptsRuns() bool { return w.health.quarantine == 0 || len(w.claims) == 0 }
+
 func (h *health) recordUnhealthy(now time.Duration) {
 	h.blockedUntil = max(h.blockedUntil, now+unhealthyPause)
 }
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -31,3 +31,21 @@
 		})
 	}
 }
+
+// Guards against a gang that waits forever because each worker that may run it is quarantined and
+// would get one of its members at a time, which is no run of the gang.
+func TestGangIsPlacedOnQuarantinedWorker(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(1, false)
+	k.run(2 * time.Second)
+	k.sched.workers[1].health.quarantine = quarantineMin
+	gang := newStep(3, 500, 1000)
+	gang.Gang = true
+	k.submit(1, gang)
+	k.submit(2, gang)
+	k.run(k.now + 300*time.Millisecond)
+	c.Assert(k.sched.workers[1].claims, qt.HasLen, gang.Count) // of one gang
+	k.run(k.now + 20*time.Second)
+	c.Assert(k.openJobCount(), qt.Equals, 0)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -291,7 +291,7 @@
 // slots returns how many waiting tasks of a step fit into the given capacity of a worker.
 func (s *Scheduler) slots(r *readyStep, w *worker, capacity job.Resources) int {
 	need := r.step.Allocation()
-	n, most := 0, min(len(r.waiting), w.maxNewRuns())
+	n, most := 0, min(len(r.waiting), w.maxNewRuns(r.step))
 	for k := s.tasksOnWorker(r, w); capacity.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < most; k++ {
 		capacity = capacity.Minus(need)
 		n++
@@ -359,7 +359,7 @@
 	need := r.step.Allocation()
 	for _, w := range workers {
 		if free := w.available(r.ref); free.Fits(need) {
-			candidates = append(candidates, &placementCandidate{w, free, s.tasksOnWorker(r, w), w.maxNewRuns(), w.bestEffortCPU})
+			candidates = append(candidates, &placementCandidate{w, free, s.tasksOnWorker(r, w), w.maxNewRuns(r.step), w.bestEffortCPU})
 		}
 	}
 	var placed []*worker
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -89,7 +89,7 @@
 
 // canSchedule reports whether new tasks may be placed on the worker.
 func (s *Scheduler) canSchedule(w *worker) bool {
-	return !w.isLeaving && !w.isOver && w.hasReported && w.failedRenewals == 0 && s.now-w.reportedAt < maxReportAge && w.health.canSchedule(s.now) && w.maxNewRuns() > 0
+	return !w.isLeaving && !w.isOver && w.hasReported && w.failedRenewals == 0 && s.now-w.reportedAt < maxReportAge && w.health.canSchedule(s.now) && w.acceptsRuns()
 }
 
 // scanWorkers sends the lease renewals that are due, and ends the claims and the incarnations
