dispatch: nothing is sent to an incarnation whose successor is registered

Cause: until the later of two lives of a worker has reported, both are registered under one name and address, and orders for either reach the same process. A renewal for the earlier one acknowledged ends of the later one by their numbers, and its lease, computed from the earlier clock, outlasted the one that the leader knew.

Change: nothing is sent to an incarnation while a later one with its name and address is registered, and no task is placed on it. The leases of both are extended by the longest lease that workers grant. If the later one is false, its first renewal shows that.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -156,7 +156,7 @@
 		s.removeClaim(c) // the job ended before the claim was applied, so the state ignored it
 		return
 	}
-	if c.worker.isOver || c.worker.isLeaving || s.workers[c.worker.info.Number] != c.worker {
+	if c.worker.isOver || c.worker.isLeaving || s.workers[c.worker.info.Number] != c.worker || c.worker.hasSuccessor {
 		s.proposeEnd(op.Task, op.Run, job.EndNotStarted, op.Checkpoint)
 		s.removeClaim(c)
 		return
@@ -338,7 +338,7 @@
 // scanClaims repeats unanswered orders and stops the members of gangs that have lost one.
 func (s *Scheduler) scanClaims() {
 	for _, c := range s.claims {
-		if c.retryAt != 0 && s.now >= c.retryAt && !c.worker.isOver {
+		if c.retryAt != 0 && s.now >= c.retryAt && !c.worker.isOver && !c.worker.hasSuccessor {
 			switch c.phase {
 			case claimSent:
 				s.sendStart(c)
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -105,6 +105,7 @@
 	if len(s.byName[w.info.Name]) == 0 {
 		delete(s.byName, w.info.Name)
 	}
+	s.updateSuccessors(w.info.Name)
 }
 
 // newest returns the incarnation of a name that started last, of those that have reported in this
@@ -125,12 +126,18 @@
 func (s *Scheduler) endIncarnation(w *worker, reason string) {
 	if !w.isOver {
 		s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: reason, InputAge: s.now - w.reportedAt})
-		w.isOver = true
+		s.markOver(w)
 	}
 	s.loseClaims(w)
 	s.deregister(w)
 }
 
+// markOver records that an incarnation is over.
+func (s *Scheduler) markOver(w *worker) {
+	w.isOver = true
+	s.updateSuccessors(w.info.Name)
+}
+
 // deregister proposes to deregister an incarnation that is over, unless some of its claims are on
 // its successor.
 func (s *Scheduler) deregister(w *worker) {
@@ -147,7 +154,7 @@
 	if w.isOver {
 		return
 	}
-	w.isOver = true
+	s.markOver(w)
 	s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: "started again under its name", InputAge: s.now - w.reportedAt})
 	for _, c := range w.claims {
 		if !c.mayStartInSuccessor() {
@@ -174,11 +181,11 @@
 // transferClaims moves the claims whose starts may still reach the new incarnation of a worker
 // to that incarnation, and stops their runs there, so that it refuses a delayed copy of a start.
 func (s *Scheduler) transferClaims(old, successor *worker) {
+	s.extendLeases(old, successor) // starts may have arrived since both were registered
 	for _, c := range old.claims {
 		if c.phase == claimProposed || !c.mayStartInSuccessor() {
 			continue
 		}
-		successor.leaseEnd = max(successor.leaseEnd, s.now+s.maxElapsed(s.settings.MaxLease)) // see expectSuccessor
 		origin := c.origin
 		if origin == nil {
 			origin = old
@@ -191,15 +198,24 @@
 	}
 }
 
-// expectSuccessor extends the lease of the earlier of two incarnations that may be lives of one
-// worker. Starts for the earlier one may have reached the later one, where their leases, computed
-// from the clock of the earlier one, may last as long as the longest lease that workers grant.
-func (s *Scheduler) expectSuccessor(a, b *worker) {
-	if a.info.Address != b.info.Address {
-		return
+// updateSuccessors recomputes, for the incarnations of a name, whether a later one at the same address
+// is registered. Orders to either reach the same process, so none are sent to the earlier one: a
+// renewal would acknowledge ends of the later one by their numbers. If the later one is false, its
+// first renewal shows that.
+func (s *Scheduler) updateSuccessors(name string) {
+	for _, w := range s.byName[name] {
+		w.hasSuccessor = slices.ContainsFunc(s.byName[name], func(o *worker) bool {
+			return o != w && !o.isOver && o.info.Address == w.info.Address && o.info.StartedMillis > w.info.StartedMillis
+		})
 	}
-	if b.info.StartedMillis < a.info.StartedMillis {
-		a = b
+}
+
+// extendLeases extends the leases of two incarnations that may be lives of one worker. Orders for the
+// earlier one may have reached the later one. Their leases, computed from the clock of the earlier
+// one, may last there as long as the longest lease that workers grant.
+func (s *Scheduler) extendLeases(a, b *worker) {
+	if a.info.Address == b.info.Address {
+		end := s.now + s.maxElapsed(s.settings.MaxLease)
+		a.leaseEnd, b.leaseEnd = max(a.leaseEnd, end), max(b.leaseEnd, end)
 	}
-	a.leaseEnd = max(a.leaseEnd, s.now+s.maxElapsed(s.settings.MaxLease))
 }
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -128,3 +128,31 @@
 	}
 	c.Assert(reached > 0, qt.IsTrue)
 }
+
+// Guards against orders for an incarnation that reach the next one under its name and address: a
+// renewal would acknowledge ends there that were never reported, by their numbers.
+func TestNothingIsSentToAnIncarnationWithASuccessor(t *testing.T) {
+	c := qt.New(t)
+	k, w := newClusterWithRuns(c)
+	old := k.sched.newest(w.info.Name)
+	next := k.addWorker(w.info.Name, w.info.Address, workerCapacity)
+	next.isPartitioned = true
+	k.sched.Announced(k.now, Announcement{Worker: next.info})
+	k.run(k.now + 4*time.Second) // the renewal in flight times out
+	c.Assert(old.hasSuccessor, qt.IsTrue)
+	renewals := 0
+	for end := k.now + 2*time.Second; k.now < end; k.now += 5 * time.Millisecond {
+		k.sched.Tick(k.now, k.wallMillis())
+		for _, a := range k.sched.Actions() {
+			switch a := a.(type) {
+			case RenewLease:
+				c.Assert(a.Worker.Number == old.info.Number, qt.IsFalse)
+				renewals++
+				k.sched.Reported(k.now, a.Worker.Number, k.now, NoReply, Report{})
+			case Start:
+				c.Assert(a.Worker.Number == old.info.Number, qt.IsFalse)
+			}
+		}
+	}
+	c.Assert(renewals > 0, qt.IsTrue)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -65,6 +65,7 @@
 	signedOffAt        time.Duration
 	isSignOffConfirmed bool
 	isOver             bool // the incarnation is over; nothing more is sent to it
+	hasSuccessor       bool // see updateSuccessors; nothing is sent to it meanwhile
 	isDeregistered     bool // its end was proposed
 	// movedClaims is the number of its claims that are now on its successor. Until they have ended,
 	// the incarnation stays registered, since the log names it as their worker.
@@ -77,10 +78,11 @@
 func (s *Scheduler) addWorker(info *job.Worker, leaseEnd time.Duration) *worker {
 	w := &worker{info: info, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, reserved: map[job.StepRef]job.Resources{}, lastSeen: s.now, isLeaving: info.Leaving}
 	for _, other := range s.byName[info.Name] {
-		s.expectSuccessor(other, w)
+		s.extendLeases(other, w)
 	}
 	s.workers[info.Number], s.workersByNumber = w, nil
 	s.byName[info.Name] = append(s.byName[info.Name], w)
+	s.updateSuccessors(info.Name)
 	return w
 }
 
@@ -89,7 +91,7 @@
 
 // canSchedule reports whether new tasks may be placed on the worker.
 func (s *Scheduler) canSchedule(w *worker) bool {
-	return !w.isLeaving && !w.isOver && w.hasReported && w.failedRenewals == 0 && s.now-w.reportedAt < maxReportAge && w.health.canSchedule(s.now) && w.acceptsRuns()
+	return !w.isLeaving && !w.isOver && !w.hasSuccessor && w.hasReported && w.failedRenewals == 0 && s.now-w.reportedAt < maxReportAge && w.health.canSchedule(s.now) && w.acceptsRuns()
 }
 
 // scanWorkers sends the lease renewals that are due, and ends the claims and the incarnations
@@ -107,7 +109,7 @@
 			}
 			continue
 		}
-		if w.failedRenewals > 0 && s.now >= w.leaseEnd && len(w.claims) > 0 {
+		if (w.failedRenewals > 0 || w.hasSuccessor) && s.now >= w.leaseEnd && len(w.claims) > 0 {
 			s.record(Decision{Event: "worker lost", Worker: w.info.Name, Reason: "no answer until the lease ended", InputAge: s.now - w.reportedAt})
 			s.loseClaims(w)
 			s.needsPass = true
@@ -116,7 +118,7 @@
 			s.endIncarnation(w, "silent")
 			continue
 		}
-		if w.isRenewing || w.uncommittedEnd > 0 || s.now < w.nextRenewal {
+		if w.hasSuccessor || w.isRenewing || w.uncommittedEnd > 0 || s.now < w.nextRenewal {
 			continue
 		}
 		if !w.hasReported {
