dispatch: a start is not repeated to a worker that answers no renewals

Seen: the property TestTasksRunOnceUnderFaults: a task ran twice at the same time. On untouched code shows the same.

Cause: a worker restarted under its name and was cut off before it had announced itself. Starts were repeated to it every 0.8 s; one reached the new life when the link was back, with a lease computed from the clock of the old one. The leader took the worker for lost at the end of the lease that it knew and placed the task again.

Change: an unanswered start is repeated only while the worker answers renewals. The first renewal that is answered shows which life answers.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -341,7 +341,11 @@
 		if c.retryAt != 0 && s.now >= c.retryAt && !c.worker.isOver && !c.worker.hasSuccessor {
 			switch c.phase {
 			case claimSent:
-				s.sendStart(c)
+				// A worker that answers no renewals may have restarted. It would run the task
+				// longer than until the end of the lease that the leader waits for.
+				if c.worker.failedRenewals == 0 {
+					s.sendStart(c)
+				}
 			case claimStopping, claimStopped:
 				s.sendStop(c, "repeated")
 			}
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -156,3 +156,31 @@
 	}
 	c.Assert(renewals > 0, qt.IsTrue)
 }
+
+// Guards against a start that is repeated to a worker while it answers no renewals. It may have
+// restarted under its name without having announced itself, and would run the task for longer than
+// the lease of its previous life, after which the task is placed again.
+func TestStartIsNotRepeatedToASilentWorker(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(60) {
+		k := newCluster(seed, faults{})
+		k.setUp(2, false)
+		k.run(2*time.Second + time.Duration(seed)*20*time.Millisecond)
+		k.submit(1, newStep(1, 1000, 5000))
+		for k.traceOf("placed") == "" {
+			k.run(k.now + time.Millisecond)
+		}
+		for address, w := range k.workers {
+			if old := k.sched.newest(w.info.Name); old.allocated != (job.Resources{}) {
+				// The next life is cut off before it has announced itself. The link is back shortly
+				// before the leader takes the worker for lost.
+				next := k.addWorker(w.info.Name, address, workerCapacity)
+				next.isPartitioned = true
+				k.schedule(old.leaseEnd-k.now-300*time.Millisecond, func() { next.isPartitioned = false })
+			}
+		}
+		k.run(k.now + 20*time.Second)
+		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
+		c.Check(k.openJobCount(), qt.Equals, 0)
+	}
+}
