dispatch: the model of the log commits in order and loses only a tail

The simulated log committed each batch after a delay of its own, and lost batches of a leader one by one. Batches now commit in order, and a lost one takes all later ones of its leader with it.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -20,9 +20,13 @@
 	state      *job.State
 	sched      *Scheduler
 	term       uint64
-	noLeader   bool                   // there is no leader now
-	workers    map[string]*fakeWorker // by address
-	faults     faults
+	noLeader   bool // there is no leader now
+	// lastCommitAt is when the newest proposed batch is committed. truncatedTerm is the newest term
+	// whose last batches were lost.
+	lastCommitAt  time.Duration
+	truncatedTerm uint64
+	workers       map[string]*fakeWorker // by address
+	faults        faults
 	// adviceLatency is how long the advisor takes for a call.
 	adviceLatency time.Duration
 	violations    []string // descriptions of broken rules
@@ -181,15 +185,18 @@
 	}
 }
 
-// propose commits a batch after a delay, if the leader is still the same.
+// propose commits a batch after a delay, if the leader is still the same. Batches are committed in
+// the order of the log, and one that is lost with its leader takes all later ones with it.
 func (c *cluster) propose(ops []job.Op) {
 	term := c.term
-	c.schedule(time.Duration(5+c.rng.IntN(15))*time.Millisecond, func() {
-		if c.term != term {
+	c.lastCommitAt = max(c.lastCommitAt, c.now+time.Duration(5+c.rng.IntN(15))*time.Millisecond)
+	c.schedule(c.lastCommitAt-c.now, func() {
+		if c.term != term || c.truncatedTerm == term {
 			return // a new leader starts only when all surviving entries are applied
 		}
 		if c.noLeader && c.rng.IntN(2) == 0 {
-			return // lost with the leader
+			c.truncatedTerm = term
+			return
 		}
 		for _, op := range ops {
 			c.state.Apply(op)
