--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -468,3 +468,25 @@
 	}
 	tc.eventually("the job is known after a restart of all keepers", func() bool { return status(entry, 1) != 0 })
 }
+
+// Guards against a sign-off whose caller waits for the deadline, or is told OK, when the leadership
+// is lost before the worker's runs have ended.
+func TestSignOffIsInterruptedByTheLossOfTheLeadership(t *testing.T) {
+	tc := newTestCell(t, 3)
+	tc.workers.taskDuration = time.Minute
+	n := tc.nodes[tc.leader()].node
+	tc.c.Assert(forwardCall(n, Call{Kind: PutConfig, Config: testConfig(3)}).Code, qt.Equals, OK)
+	tc.announce(n, "w1")
+	tc.c.Assert(submit(n, 1, 1).Code, qt.Equals, OK)
+	tc.eventually("the task runs", func() bool { return status(n, 1) == JobRunning })
+	replies := make(chan Reply, 1)
+	tc.onEventLoop(tc.leader(), func(h *replicaHost) {
+		now := h.node.eventLoop.Now()
+		h.serve(now, Call{Kind: SignOff, Worker: "w1"}, func(r Reply) { replies <- r })
+		tc.c.Check(h.signOffs["w1"], qt.HasLen, 1)
+		h.group.Node.StepDown()
+		h.updateLeadership(now)
+		tc.c.Check(h.signOffs, qt.HasLen, 0)
+	})
+	tc.c.Assert((<-replies).Code, qt.Equals, Interrupted)
+}
