--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"reflect"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -28,7 +29,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			var got record
 			qt.Assert(t, DecMode.Unmarshal(data, &got), qt.IsNil)
-			qt.Assert(t, got, qt.DeepEquals, want)
+			qt.Assert(t, reflect.DeepEqual(got, want), qt.IsTrue) // qt.DeepEquals takes seconds for the large map
 		})
 	}
 }
