--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -96,25 +96,33 @@
 	c.Assert(announced("late"), qt.Equals, AnnouncementRefused)
 }
 
+// newClusterRestartedAtPlacement returns a cluster of two workers. A job of one step was submitted at a
+// time, and the worker of its first claim has just restarted under its name. It also returns the
+// leader's state of the previous life, and the next life.
+func newClusterRestartedAtPlacement(c *qt.C, seed uint64, at time.Duration, step job.Step) (*cluster, *worker, *fakeWorker) {
+	k := newCluster(seed, faults{})
+	k.setUp(2, false)
+	k.run(at)
+	k.submit(1, step)
+	for k.traceOf("placed") == "" {
+		k.run(k.now + time.Millisecond)
+	}
+	for address, w := range k.workers {
+		if old := k.sched.newest(w.info.Name); old.allocated != (job.Resources{}) {
+			return k, old, k.addWorker(w.info.Name, address, workerCapacity)
+		}
+	}
+	c.Fatal("no worker has the claim")
+	return nil, nil, nil
+}
+
 // Guards against placing a task again while it runs on a worker's next incarnation, which a start for
 // the previous one reached and which then was cut off. The lease there counts from another clock.
 func TestStartThatReachesTheNextIncarnationIsWaitedFor(t *testing.T) {
 	c := qt.New(t)
 	reached := 0
 	for seed := range uint64(20) {
-		k := newCluster(seed, faults{})
-		k.setUp(2, false)
-		k.run(2 * time.Second)
-		k.submit(1, newStep(1, 1000, 1000))
-		for k.traceOf("placed") == "" {
-			k.run(k.now + time.Millisecond)
-		}
-		var next *fakeWorker
-		for address, w := range k.workers {
-			if k.sched.newest(w.info.Name).allocated != (job.Resources{}) {
-				next = k.addWorker(w.info.Name, address, workerCapacity)
-			}
-		}
+		k, _, next := newClusterRestartedAtPlacement(c, seed, 2*time.Second, newStep(1, 1000, 1000))
 		for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
 			k.run(k.now + time.Millisecond)
 		}
@@ -163,22 +171,12 @@
 func TestStartIsNotRepeatedToASilentWorker(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(60) {
-		k := newCluster(seed, faults{})
-		k.setUp(2, false)
-		k.run(2*time.Second + time.Duration(seed)*20*time.Millisecond)
-		k.submit(1, newStep(1, 1000, 5000))
-		for k.traceOf("placed") == "" {
-			k.run(k.now + time.Millisecond)
-		}
-		for address, w := range k.workers {
-			if old := k.sched.newest(w.info.Name); old.allocated != (job.Resources{}) {
-				// The next life is cut off before it has announced itself. The link is back shortly
-				// before the leader takes the worker for lost.
-				next := k.addWorker(w.info.Name, address, workerCapacity)
-				next.isPartitioned = true
-				k.schedule(old.leaseEnd-k.now-300*time.Millisecond, func() { next.isPartitioned = false })
-			}
-		}
+		at := 2*time.Second + time.Duration(seed)*20*time.Millisecond
+		k, old, next := newClusterRestartedAtPlacement(c, seed, at, newStep(1, 1000, 5000))
+		// The next life is cut off before it has announced itself. The link is back shortly before the
+		// leader takes the worker for lost.
+		next.isPartitioned = true
+		k.schedule(old.leaseEnd-k.now-300*time.Millisecond, func() { next.isPartitioned = false })
 		k.run(k.now + 20*time.Second)
 		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
 		c.Check(k.openJobCount(), qt.Equals, 0)
