cell: the load of the event loop, commits and waits for the processor are measured

Logs and metrics could not tell whether urgent jobs are late because the event loop is behind, because the process lacks processor time, or for want of capacity and advice. A leader now logs its load every 5 s, and four metrics have the same for a scrape.

--- a/cell/host.go
+++ b/cell/host.go
@@ -41,8 +41,9 @@
 
 // proposal is an entry that this replica proposed and that has not been applied yet.
 type proposal struct {
-	term      uint64
-	callbacks []func(committed bool)
+	term       uint64
+	proposedAt time.Duration
+	callbacks  []func(committed bool)
 }
 
 func newReplicaHost(n *Node) *replicaHost {
@@ -54,6 +55,7 @@
 
 // Apply implements replica.StateMachine.
 func (h *replicaHost) Apply(now time.Duration, e raft.Entry) {
+	defer h.node.loopLoad.measurePart(applyPart, time.Now())
 	ops, err := job.Decode(e.Data)
 	if err != nil {
 		h.node.log.Panic("committed entry cannot be decoded", zap.Error(err), zap.Uint64("index", e.Index))
@@ -69,6 +71,7 @@
 	}
 	if p, ok := h.proposals[e.Index]; ok {
 		delete(h.proposals, e.Index)
+		h.node.loopLoad.observeCommit(now - p.proposedAt)
 		for _, done := range p.callbacks {
 			done(p.term == e.Term)
 		}
@@ -148,19 +151,28 @@
 	h.group.ProcessReady(now)
 	h.updateLeadership(now)
 	if h.isActiveLeader(now) {
-		h.scheduler.Tick(now, time.Now().UnixMilli())
+		h.tickScheduler(now)
 		h.execute(h.scheduler.Actions())
 		h.flush(now)
 		if now >= h.nextReconcile {
 			h.nextReconcile = now + replica.ReconcileInterval
 			h.reconcile(now)
-			h.node.metrics.setLoad(h.scheduler.Load())
+			load := h.scheduler.Load()
+			h.node.metrics.setLoad(load)
+			h.node.loopLoad.logIfDue(now, load, h.group.AppliedIndex())
 		}
 	}
 	h.group.ProcessReady(now)
 	h.node.metrics.setDiskFull(h.group.DiskFull())
 }
 
+// tickScheduler lets the scheduler handle its timers and place tasks.
+func (h *replicaHost) tickScheduler(now time.Duration) {
+	began := time.Now()
+	h.scheduler.Tick(now, began.UnixMilli())
+	h.node.loopLoad.measurePart(schedulePart, began)
+}
+
 // isActiveLeader reports whether this replica may act as the leader now.
 func (h *replicaHost) isActiveLeader(now time.Duration) bool {
 	return h.epoch != 0 && h.group.IsActiveLeader(now)
@@ -230,9 +242,7 @@
 		h.updateLeadership(now)
 		return
 	}
-	if len(h.pendingCallbacks) > 0 {
-		h.proposals[index] = proposal{term, h.pendingCallbacks}
-	}
+	h.proposals[index] = proposal{term, now, h.pendingCallbacks}
 	h.pendingOps, h.pendingCallbacks = nil, nil
 }
 
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/oleanderchute/oleanderchute/dispatch"
 )
@@ -27,6 +28,9 @@
 	busyProxies   prometheus.Gauge
 	adviceSeconds *prometheus.HistogramVec
 	diskFull      prometheus.Gauge
+	commitSeconds prometheus.Histogram
+	eventWait     prometheus.Histogram
+	eventSeconds  *prometheus.CounterVec
 	// reducedToleranceSeconds is set on the leader only.
 	reducedToleranceSeconds prometheus.Gauge
 }
@@ -55,11 +59,18 @@
 			Help: "Time that a call to the advisor waited for a member, and then for its answer.", Buckets: latencyBuckets}, []string{"phase"}),
 		diskFull: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_disk_full",
 			Help: "1 while the disk of this VM is full, so that it acknowledges nothing."}),
+		commitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "oleander_cell_commit_seconds",
+			Help: "Time from the proposal of an entry until the leader applied it.", Buckets: latencyBuckets}),
+		eventWait: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "oleander_cell_event_wait_seconds",
+			Help: "Time that an event waited for the event loop.", Buckets: latencyBuckets}),
+		eventSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_event_seconds_total",
+			Help: "Time that the event loop spent, by kind of event. apply and schedule are parts of saved and step."}, []string{"kind"}),
 		reducedToleranceSeconds: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_reduced_tolerance_seconds",
 			Help: "How long the group has tolerated fewer losses than it should, on the leader; 0 if it tolerates its number."}),
 	}
 	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers,
-		m.queuedCalls, m.busyProxies, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds)
+		m.queuedCalls, m.busyProxies, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
+		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return m
 }
 
--- a/cell/node.go
+++ b/cell/node.go
@@ -34,6 +34,7 @@
 	log       *zap.Logger
 	metrics   *metrics
 	eventLoop *replica.EventLoop
+	loopLoad  *loopLoad // owned by the event loop goroutine
 	peers     *peerSet
 	finder    *leaderFinder
 	host      *replicaHost // nil on an entry VM; set before the event loop runs, then owned by the event loop goroutine
@@ -45,6 +46,8 @@
 		return nil, err
 	}
 	n := &Node{settings: settings, workers: workers, advisor: advisor, log: log, metrics: newMetrics(), eventLoop: replica.NewEventLoop()}
+	n.loopLoad = newLoopLoad(n.metrics, log)
+	n.eventLoop.SetObserver(n.loopLoad.observe)
 	n.peers = newPeerSet(n)
 	n.finder = newLeaderFinder(settings.Address, settings.Seeds)
 	return n, nil
@@ -204,7 +207,7 @@
 		return Reply{Code: NotLeader}
 	}
 	ch := make(chan Reply, 1)
-	if !n.eventLoop.Post(func() { n.host.serve(n.eventLoop.Now(), c, func(r Reply) { ch <- r }) }) {
+	if !n.eventLoop.PostKind(callKind, func() { n.host.serve(n.eventLoop.Now(), c, func(r Reply) { ch <- r }) }) {
 		return Reply{Code: NotLeader}
 	}
 	select {
@@ -259,7 +262,7 @@
 
 // deliverRaft passes raft messages to the replica.
 func (n *Node) deliverRaft(messages []raft.Message) {
-	n.eventLoop.Post(func() {
+	n.eventLoop.PostKind(raftKind, func() {
 		now := n.eventLoop.Now()
 		for _, m := range messages {
 			if n.host != nil && m.Group == groupName {
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -35,8 +35,8 @@
 
 // postReply runs fn on the event loop if this replica is still the leader in the term in
 // which the order was sent.
-func (h *replicaHost) postReply(epoch uint64, fn func(now time.Duration)) {
-	h.node.eventLoop.Post(func() {
+func (h *replicaHost) postReply(kind string, epoch uint64, fn func(now time.Duration)) {
+	h.node.eventLoop.PostKind(kind, func() {
 		if h.epoch == epoch {
 			fn(h.node.eventLoop.Now())
 		}
@@ -50,7 +50,7 @@
 		defer cancel()
 		reply, report := h.node.workers.RenewLease(ctx, o)
 		h.node.metrics.orders.WithLabelValues("hold", reply.String()).Inc()
-		h.postReply(epoch, func(now time.Duration) { h.scheduler.Reported(now, o.Worker.Number, sent, reply, report) })
+		h.postReply(renewalKind, epoch, func(now time.Duration) { h.scheduler.Reported(now, o.Worker.Number, sent, reply, report) })
 	}()
 }
 
@@ -80,7 +80,7 @@
 		began := time.Now()
 		reply, clock := send(ctx)
 		h.node.metrics.recordOrder(kind, reply, time.Since(began))
-		h.postReply(epoch, func(now time.Duration) { onReply(now, reply, clock) })
+		h.postReply(kind, epoch, func(now time.Duration) { onReply(now, reply, clock) })
 	}()
 }
 
@@ -105,7 +105,7 @@
 			}
 		}
 		valid := time.Duration(adviceReply.ValidMillis) * time.Millisecond
-		h.postReply(epoch, func(now time.Duration) {
+		h.postReply(adviceKind, epoch, func(now time.Duration) {
 			h.scheduler.Advised(now, a.Via, a.Step, a.Workers, granted, valid, err == nil)
 		})
 	}()
--- a/replica/eventloop.go
+++ b/replica/eventloop.go
@@ -25,16 +25,38 @@
 // all raft nodes and the state machines that they replicate; no other goroutine accesses
 // them.
 type EventLoop struct {
-	events chan func()
-	done   chan struct{}
-	origin time.Duration // clock.SinceBoot at the start
+	events  chan event
+	done    chan struct{}
+	origin  time.Duration // clock.SinceBoot at the start
+	observe EventObserver // may be nil
 }
 
+// event is a queued function.
+type event struct {
+	kind     string
+	fn       func()
+	postedAt time.Time
+}
+
+// EventObserver is told how long each event waited for the event loop, and how long it took. Its
+// kind is that of PostKind, or StepKind for a call of afterBatch. It is called on the event loop
+// goroutine.
+type EventObserver func(kind string, waited, took time.Duration)
+
+// Kinds of event that are not named by PostKind.
+const (
+	StepKind  = "step"  // a call of afterBatch
+	otherKind = "other" // an event of Post or Call
+)
+
 // NewEventLoop returns an event loop that handles no events until Run is called.
 func NewEventLoop() *EventLoop {
-	return &EventLoop{events: make(chan func(), maxQueuedEvents), done: make(chan struct{}), origin: clock.SinceBoot()}
+	return &EventLoop{events: make(chan event, maxQueuedEvents), done: make(chan struct{}), origin: clock.SinceBoot()}
 }
 
+// SetObserver sets the observer of all events. It must be called before Run.
+func (l *EventLoop) SetObserver(o EventObserver) { l.observe = o }
+
 // Now returns the time since NewEventLoop was called. It includes the time while the
 // machine was suspended.
 func (l *EventLoop) Now() time.Duration { return clock.SinceBoot() - l.origin }
@@ -44,14 +66,17 @@
 
 // Post queues fn. It blocks while the queue is full, and returns false if the event loop
 // has stopped.
-func (l *EventLoop) Post(fn func()) bool {
+func (l *EventLoop) Post(fn func()) bool { return l.PostKind(otherKind, fn) }
+
+// PostKind is Post for an event of a kind that the observer distinguishes.
+func (l *EventLoop) PostKind(kind string, fn func()) bool {
 	select {
 	case <-l.done:
 		return false
 	default:
 	}
 	select {
-	case l.events <- fn:
+	case l.events <- event{kind, fn, time.Now()}:
 		return true
 	case <-l.done:
 		return false
@@ -100,12 +125,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case fn := <-l.events:
-			fn()
+		case e := <-l.events:
+			l.handle(e, time.Now())
 			l.drainEvents()
 		case <-ticker.C:
 		}
+		began := time.Now()
 		afterBatch(l.Now())
+		l.report(StepKind, 0, time.Since(began))
+	}
+}
+
+// handle runs an event that was taken from the queue at a time.
+func (l *EventLoop) handle(e event, began time.Time) {
+	e.fn()
+	l.report(e.kind, began.Sub(e.postedAt), time.Since(began))
+}
+
+func (l *EventLoop) report(kind string, waited, took time.Duration) {
+	if l.observe != nil {
+		l.observe(kind, waited, took)
 	}
 }
 
@@ -118,8 +157,8 @@
 func (l *EventLoop) drainEvents() {
 	for range maxEventsPerBatch {
 		select {
-		case fn := <-l.events:
-			fn()
+		case e := <-l.events:
+			l.handle(e, time.Now())
 		default:
 			return
 		}
--- a/replica/group.go
+++ b/replica/group.go
@@ -76,6 +76,9 @@
 	diskFullRetryInterval = 250 * time.Millisecond
 )
 
+// SavedKind is the kind of the events that report the end of a save request.
+const SavedKind = "saved"
+
 // compactionInterval is the number of applied entries after which the log is compacted.
 const compactionInterval = 4096
 
@@ -140,7 +143,7 @@
 			continue
 		}
 		request := saveRequest{ready: ready}
-		request.done = func(err error) { g.eventLoop.Post(func() { g.onSaved(request, err) }) }
+		request.done = func(err error) { g.eventLoop.PostKind(SavedKind, func() { g.onSaved(request, err) }) }
 		g.startSaving(now, request)
 	}
 }
@@ -277,7 +280,7 @@
 	}
 	g.log.Info("log compacted", zap.Uint64("index", snap.Index), zap.Uint64("entries", snap.Index-previous), zap.Int("bytes", len(snap.Data)),
 		zap.Duration("took", g.eventLoop.Now()-now))
-	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) { g.eventLoop.Post(func() { g.onCompacted(previous, err) }) }})
+	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) { g.eventLoop.PostKind(SavedKind, func() { g.onCompacted(previous, err) }) }})
 }
 
 // onCompacted handles the result of saving a snapshot. If the disk was full, the log on the
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -233,7 +233,7 @@
 		g.Node.Tick(now)
 		g.ProcessReady(now)
 		for g.saving {
-			(<-loop.events)()
+			(<-loop.events).fn()
 		}
 	}
 	now := time.Duration(0)
