dispatch: a long backlog no longer takes the leader's processor

Cause: each waiting step was tried again every 25 ms, in passes over the whole backlog, and each end and each cancellation searched all claims. With 350 to 600 open jobs that took a third of the leader's time; commits took 150 to 260 ms instead of 30, and an urgent job needs two of them before it runs.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -155,7 +155,7 @@
 	var list []*worker
 	isRenewal := true
 	if r.step.Gang {
-		if res := s.reservations[r.ref]; res != nil && !res.isWaiting {
+		if s.isPreempting(r.ref) {
 			return // capacity is already reserved on workers for which it has valid tickets
 		}
 		list = s.renewableWorkersForGang(r, a)
@@ -209,6 +209,7 @@
 
 // workersWithSlots returns the workers that have capacity for at least minSlots tasks of a step.
 func (s *Scheduler) workersWithSlots(r *readyStep, workers []*worker, minSlots int) []workerSlots {
+	s.examined += len(workers)
 	out := make([]workerSlots, 0, len(workers))
 	for _, w := range workers {
 		capacity := w.available(r.ref)
@@ -343,7 +344,8 @@
 // placed, so that the advisor's time goes to jobs that can still be in time. No queue
 // uses more than maxQueueFraction of the proxies for long calls while calls of other queues wait.
 func (s *Scheduler) sendQueuedCalls() {
-	if len(s.queuedCalls) == 0 {
+	free, keptFree := s.freeProxies(), min(proxiesForShortCalls, len(s.proxies)/2)
+	if !slices.ContainsFunc(s.queuedCalls, func(call *advisorCall) bool { return call.fits(free, keptFree) }) {
 		return
 	}
 	slices.SortStableFunc(s.queuedCalls, func(x, y *advisorCall) int { return x.compareAt(y.urgency, s.wallMillis) })
@@ -353,20 +355,24 @@
 			busy[proxy.call.queue]++
 		}
 	}
-	free := s.freeProxies()
-	keptFree := min(proxiesForShortCalls, len(s.proxies)/2)
 	queueLimit := max(int(maxQueueFraction*float64(len(s.proxies)-keptFree)), 1)
 	free = s.sendCallsUpTo(free, keptFree, busy, queueLimit)
 	s.sendCallsUpTo(free, keptFree, busy, len(s.proxies))
 }
 
+// fits reports whether the call may be sent while the given proxies are free. A long call leaves
+// keptFree of them free.
+func (call *advisorCall) fits(free []string, keptFree int) bool {
+	return len(free) > 0 && (call.duration <= longCallMin || len(free) > keptFree)
+}
+
 // sendCallsUpTo sends queued calls through the free proxies, such that each queue uses at most
 // queueLimit proxies and long calls leave keptFree proxies free. It returns the proxies that are
 // still free.
 func (s *Scheduler) sendCallsUpTo(free []string, keptFree int, busy map[string]int, queueLimit int) []string {
 	waiting := s.queuedCalls[:0]
 	for _, call := range s.queuedCalls {
-		if len(free) == 0 || call.duration > longCallMin && len(free) <= keptFree || busy[call.queue] >= queueLimit {
+		if !call.fits(free, keptFree) || busy[call.queue] >= queueLimit {
 			waiting = append(waiting, call)
 			continue
 		}
@@ -422,10 +428,7 @@
 		return
 	}
 	a.finishCall(workers)
-	s.needsPass = true
-	for _, r := range s.ready[ref.Job] {
-		r.retryAt = 0
-	}
+	s.retryNow(ref.Job)
 	s.recordAdvice(call, ref, via, len(granted), len(workers), ok)
 	if !ok {
 		return
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -103,6 +103,10 @@
 	c := &claim{key: claimKey{ref, run}, worker: w, step: step, phase: phase, startedAt: s.now, startMayArrive: phase == claimAdopted}
 	s.claims[c.key] = c
 	w.claims[c.key] = c
+	if s.claimsByJob[ref.Job] == nil {
+		s.claimsByJob[ref.Job] = map[claimKey]*claim{}
+	}
+	s.claimsByJob[ref.Job][c.key] = c
 	if step != nil {
 		c.poolPriority = s.poolPriorityOf(ref.Job, w.info.Pool)
 		s.allocatedCPU[c.poolPriority] += step.Allocation().MilliCPU
@@ -118,6 +122,10 @@
 func (s *Scheduler) removeClaim(c *claim) {
 	delete(s.claims, c.key)
 	delete(c.worker.claims, c.key)
+	ofJob := s.claimsByJob[c.key.task.Job]
+	if delete(ofJob, c.key); len(ofJob) == 0 {
+		delete(s.claimsByJob, c.key.task.Job)
+	}
 	if c.origin != nil {
 		c.origin.movedClaims--
 	}
@@ -302,8 +310,8 @@
 
 // stopJob stops all runs of a job.
 func (s *Scheduler) stopJob(id job.ID, reason string) {
-	for key, c := range s.claims {
-		if key.task.Job == id && c.phase != claimStopping {
+	for _, c := range s.claimsByJob[id] {
+		if c.phase != claimStopping {
 			s.sendStop(c, reason)
 		}
 	}
@@ -325,7 +333,7 @@
 		return
 	}
 	delete(s.lastFailedOn, op.Task)
-	for key, c := range s.claims {
+	for key, c := range s.claimsByJob[op.Task.Job] {
 		if key.task == op.Task && key.run != op.Run && c.phase != claimStopping {
 			s.sendStop(c, "task is done")
 		}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -36,6 +36,9 @@
 	ackedDone map[job.TaskRef]bool
 	lastStart map[job.TaskRef]time.Duration
 	gangs     map[gangKey][]*fakeRun
+	// spent is the real time that the scheduler took, and startedRuns the number of starts.
+	spent       time.Duration
+	startedRuns int
 }
 
 // faults are the probabilities of injected faults.
@@ -137,6 +140,13 @@
 	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, EndedJobRetention: time.Hour}
 }
 
+// measure calls fn and adds the time that it takes to spent.
+func (c *cluster) measure(fn func()) {
+	began := time.Now()
+	fn()
+	c.spent += time.Since(began)
+}
+
 // electLeader starts a new leader.
 func (c *cluster) electLeader() {
 	c.term++
@@ -164,7 +174,7 @@
 	if c.noLeader {
 		return
 	}
-	c.sched.Tick(c.now, c.wallMillis())
+	c.measure(func() { c.sched.Tick(c.now, c.wallMillis()) })
 	for _, a := range c.sched.Actions() {
 		switch a := a.(type) {
 		case Propose:
@@ -201,7 +211,7 @@
 		for _, op := range ops {
 			c.state.Apply(op)
 			if !c.noLeader {
-				c.sched.Applied(c.now, op)
+				c.measure(func() { c.sched.Applied(c.now, op) })
 			}
 		}
 		c.runScheduler()
@@ -271,7 +281,7 @@
 		if ok {
 			fill()
 		}
-		sched.Reported(c.now, o.Worker.Number, requestedAt, reply, report)
+		c.measure(func() { sched.Reported(c.now, o.Worker.Number, requestedAt, reply, report) })
 	})
 }
 
@@ -279,7 +289,8 @@
 	sched := c.sched
 	c.deliver(o.Order, func(w *fakeWorker, respond func(func())) {
 		r, clock := w.start(o)
-		respond(func() { sched.Started(c.now, o.Task, o.Run, r, clock) })
+		c.startedRuns++
+		respond(func() { c.measure(func() { sched.Started(c.now, o.Task, o.Run, r, clock) }) })
 	}, func(ok bool, fill func()) {
 		if ok {
 			fill()
@@ -318,7 +329,7 @@
 				granted = append(granted, Ticket{w.Number, "t"})
 			}
 		}
-		sched.Advised(c.now, a.Via, a.Step, a.Workers, granted, 2*time.Second, true)
+		c.measure(func() { sched.Advised(c.now, a.Via, a.Step, a.Workers, granted, 2*time.Second, true) })
 		c.runScheduler()
 	})
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,11 +9,6 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// placementRetryDelay is how long a step that found no capacity waits before it is tried again.
-// Every run that ends frees capacity and triggers a pass, and most of these attempts would fail
-// if the step took part in each.
-const placementRetryDelay = 25 * time.Millisecond
-
 // readyStep is a step whose dependencies are done, with tasks that may start now.
 type readyStep struct {
 	job     *job.Job
@@ -24,37 +19,10 @@
 	urgency                // order in which it is placed
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
-	// retryAt is when the step is tried again after it found too little capacity.
-	retryAt time.Duration
-}
-
-// runPass runs a scheduling pass: it tries to place the waiting tasks of all ready steps, the most
-// urgent steps first.
-func (s *Scheduler) runPass() {
-	ready := s.readySteps()
-	if len(ready) == 0 {
-		return
-	}
-	s.releaseStaleReservations()
-	s.collectWorkers()
-	s.computeHeadroom()
-	for _, r := range ready {
-		s.placeStep(r)
-	}
-}
-
-// collectWorkers collects the workers that accept new tasks in this pass, by pool and number, and
-// sums their processors and those that are not allocated.
-func (s *Scheduler) collectWorkers() {
-	s.schedulable, s.idleCPU, s.cpuCapacity = map[string][]*worker{}, map[string]int64{}, map[string]int64{}
-	for _, w := range s.sortedWorkers() {
-		if w.isSchedulable = s.canSchedule(w); w.isSchedulable {
-			pool := w.info.Pool
-			s.schedulable[pool] = append(s.schedulable[pool], w)
-			s.idleCPU[pool] += max(w.free().MilliCPU, 0)
-			s.cpuCapacity[pool] += w.info.Capacity.MilliCPU
-		}
-	}
+	// retryAt is when the step is tried again after it found too little capacity, and failures how
+	// often that happened since something changed for the step.
+	retryAt  time.Duration
+	failures int
 }
 
 // readySteps returns the ready steps in the order in which they are placed, the most urgent first.
@@ -101,7 +69,7 @@
 	for _, r := range steps {
 		for _, old := range s.ready[id] {
 			if old.ref == r.ref {
-				r.retryAt = old.retryAt
+				r.retryAt, r.failures = old.retryAt, old.failures
 			}
 		}
 	}
@@ -194,12 +162,16 @@
 	}
 	r.pool = s.poolOf(r.job)
 	eligible := s.eligibleWorkers(r)
-	placed := s.selectWorkers(r, eligible)
-	placed = placed[:min(len(placed), s.startLimit(r))]
+	var placed []*worker
+	if limit := s.startLimit(r); limit > 0 {
+		placed = s.selectWorkers(r, eligible)
+		placed = placed[:min(len(placed), limit)]
+	}
 	if r.step.Gang && len(placed) < len(r.waiting) {
 		placed = nil
 	}
 	if len(placed) > 0 {
+		r.failures = 0
 		s.releaseReservation(r.ref)
 	}
 	for i, w := range placed {
@@ -212,11 +184,11 @@
 		s.dropQueuedCalls(r.ref)
 		return
 	}
-	r.retryAt, s.needsPass = s.now+placementRetryDelay, true
 	s.reserve(r, eligible)
 	if r.job.Queue.Advisor != nil && s.expectsCapacity(r) {
 		s.requestAdvice(r)
 	}
+	s.delayRetry(r, len(eligible) > 0)
 }
 
 // expectsCapacity reports whether idle processors remain after the earlier steps of the pass, and
@@ -244,6 +216,7 @@
 		return workers
 	}
 	a := s.adviceFor(r.ref)
+	s.examined += len(workers)
 	var out []*worker
 	for _, w := range workers {
 		if _, valid := a.ticketFor(w.info.Number, at); valid {
@@ -258,8 +231,10 @@
 	if r.job.Queue.Advisor == nil {
 		return s.labeledWorkers(r)
 	}
+	granted := s.adviceFor(r.ref).granted
+	s.examined += len(granted)
 	var out []*worker
-	for _, number := range s.adviceFor(r.ref).granted {
+	for _, number := range granted {
 		if w := s.workers[number]; w != nil && w.isSchedulable && w.info.Pool == r.pool && w.info.HasLabel(r.step.RequiredLabel) {
 			out = append(out, w)
 		}
@@ -270,7 +245,8 @@
 // labeledWorkers returns the workers of the step's pool that accept new tasks and have the label
 // that it requires.
 func (s *Scheduler) labeledWorkers(r *readyStep) []*worker {
-	var out []*worker
+	s.examined += len(s.schedulable[r.pool])
+	out := make([]*worker, 0, len(s.schedulable[r.pool]))
 	for _, w := range s.schedulable[r.pool] {
 		if w.info.HasLabel(r.step.RequiredLabel) {
 			out = append(out, w)
@@ -362,8 +338,10 @@
 			candidates = append(candidates, &placementCandidate{w, free, s.tasksOnWorker(r, w), w.maxNewRuns(r.step), w.bestEffortCPU})
 		}
 	}
+	s.examined += len(workers)
 	var placed []*worker
 	for _, index := range r.waiting {
+		s.examined += len(candidates)
 		best := s.bestCandidate(r, index, candidates, need)
 		if best == nil {
 			break
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -51,6 +51,12 @@
 	return free
 }
 
+// isPreempting reports whether a step holds a reservation for which runs are preempted.
+func (s *Scheduler) isPreempting(ref job.StepRef) bool {
+	res := s.reservations[ref]
+	return res != nil && !res.isWaiting
+}
+
 // releaseReservation releases the reservation of a step, if there is one.
 func (s *Scheduler) releaseReservation(ref job.StepRef) {
 	res := s.reservations[ref]
@@ -80,15 +86,14 @@
 	if !r.step.Gang {
 		return
 	}
-	res := s.reservations[r.ref]
-	if res != nil && !res.isWaiting {
+	if s.isPreempting(r.ref) {
 		return
 	}
 	if s.canReserve(r) && s.reserveCapacity(r, s.withTicketAt(r, eligible, s.now+s.preemptionDuration()), s.capacityAfterPreemption, false) {
 		s.preempt(r)
 		return
 	}
-	if res == nil && s.waitingReservations() < maxWaitingReservations {
+	if s.reservations[r.ref] == nil && s.waitingReservations() < maxWaitingReservations {
 		s.reserveCapacity(r, s.grantedWorkers(r), s.capacityAfterCompletion, true)
 	}
 }
@@ -134,6 +139,7 @@
 func (s *Scheduler) reserveCapacity(r *readyStep, workers []*worker, capacity func(*readyStep, *worker) job.Resources, isWaiting bool) bool {
 	var list []reservationCandidate
 	total := 0
+	s.examined += 2 * len(workers)
 	for _, w := range workers {
 		c := reservationCandidate{w, s.slots(r, w, w.available(r.ref)), s.slots(r, w, capacity(r, w))}
 		if c.slotsLater > 0 {
@@ -183,9 +189,9 @@
 // capacityAfterPreemption returns the capacity that a worker has for a step once its ending runs
 // have ended and all runs that the step may preempt are stopped.
 func (s *Scheduler) capacityAfterPreemption(r *readyStep, w *worker) job.Resources {
-	capacity := w.available(r.ref)
+	capacity, lateness := w.available(r.ref), r.latenessAt(s.wallMillis)
 	for _, c := range w.claims {
-		if c.isEnding() || s.isPreemptible(r, c) {
+		if c.isEnding() || s.isPreemptible(r, lateness, c) {
 			capacity = capacity.Plus(c.allocation())
 		}
 	}
@@ -204,28 +210,28 @@
 	return capacity
 }
 
-// isPreemptible reports whether a run may be stopped for a step. The run must be confirmed as
+// isPreemptible reports whether a run may be stopped for a step with a lateness. The run must be confirmed as
 // running and have a less urgent priority, must run independently of others (not in a gang), must
 // end by itself (not be long-running or best-effort), and must either have checkpoints or be no
 // older than preemptMaxAge. A step that will be late does not stop a run of a job that can be in
 // time.
-func (s *Scheduler) isPreemptible(r *readyStep, c *claim) bool {
+func (s *Scheduler) isPreemptible(r *readyStep, stepLateness lateness, c *claim) bool {
 	if c.step == nil || c.step.Gang || c.step.LongRunning || c.step.BestEffortCPU || c.phase != claimRunning {
 		return false
 	}
-	if c.latenessWhenPlaced < r.latenessAt(s.wallMillis) {
+	if c.latenessWhenPlaced < stepLateness {
 		return false
 	}
 	if !c.step.Checkpointing && s.now-c.startedAt > preemptMaxAge {
 		return false
 	}
-	j := s.state.Job(c.key.task.Job)
-	return j != nil && j.Queue.Priority > r.job.Queue.Priority
+	return c.poolPriority.priority > r.job.Queue.Priority && c.poolPriority.priority != lowestPriority
 }
 
 // preempt stops as many less urgent runs on the reserved workers as the step needs. It stops
 // those first that lose the least work: runs with checkpoints, then the youngest.
 func (s *Scheduler) preempt(r *readyStep) {
+	stepLateness := r.latenessAt(s.wallMillis)
 	for _, w := range s.reservations[r.ref].workers {
 		missing := w.reserved[r.ref].Minus(w.available(r.ref))
 		var victims []*claim
@@ -233,7 +239,7 @@
 			switch {
 			case c.isEnding():
 				missing = missing.Minus(c.allocation())
-			case s.isPreemptible(r, c):
+			case s.isPreemptible(r, stepLateness, c):
 				victims = append(victims, c)
 			}
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -43,6 +43,7 @@
 	byName          map[string][]*worker // the incarnations of each name
 	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
 	claims          map[claimKey]*claim
+	claimsByJob     map[job.ID]map[claimKey]*claim
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
 	reservations    map[job.StepRef]*reservation
@@ -71,6 +72,7 @@
 	topPriority        map[string]int
 	topPriorityVersion int64
 
+	examined        int  // workers examined for steps since this node leads
 	needsPass       bool // something has changed that may let tasks be placed
 	nextPass        time.Duration
 	nextJobDeletion time.Duration
@@ -90,14 +92,14 @@
 func (s *Scheduler) Reset(state *job.State) {
 	s.state, s.leading = state, false
 	s.workers, s.byName, s.workersByNumber = map[uint32]*worker{}, map[string][]*worker{}, nil
-	s.claims, s.proposedClaims = map[claimKey]*claim{}, map[job.TaskRef]bool{}
+	s.claims, s.claimsByJob, s.proposedClaims = map[claimKey]*claim{}, map[job.ID]map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations = map[job.StepRef]*reservation{}
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
-	s.nextPass, s.nextWorkerScan, s.nextClaimScan = 0, 0, 0
+	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -98,7 +98,7 @@
 // of workers that have not answered for too long.
 func (s *Scheduler) scanWorkers() {
 	firstRenewals := maxFirstRenewals
-	for _, w := range s.workers {
+	for _, w := range s.sortedWorkers() {
 		s.scanSignOff(w)
 		if w.isOver {
 			if len(w.claims) > 0 && s.now-w.lastSeen > idleWorkerTimeout {
