dispatch: renewals follow commits, and scans are short and rare

The scheduler scanned all workers every 5 ms to send renewals, all claims every 25 ms with a search of the whole gang for each member, sorted all waiting steps from scratch in each pass, and built the list of free proxies on each event. Change: a renewal is sent when the ends before it are committed, and scans of workers and claims for expired timers are made every 25 and 50 ms; a gang is searched once a scan; the order of steps is kept between passes; free proxies are counted first. TestRenewalFollowsTheCommitOfEnds does not pass on the former code, where only a scan sends renewals.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -228,11 +228,14 @@
 // slots, gangs prefer those on which they preempt the least. Other steps choose at random, since
 // steps that choose the same workers take them from each other before the answers arrive.
 func (s *Scheduler) selectToAsk(r *readyStep, candidates []workerSlots, rate float64) []*worker {
-	slices.SortStableFunc(candidates, func(x, y workerSlots) int {
+	slices.SortFunc(candidates, func(x, y workerSlots) int {
+		if x.slots != y.slots {
+			return cmp.Compare(y.slots, x.slots)
+		}
 		if r.step.Gang {
-			return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU))
+			return cmp.Or(cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU), cmp.Compare(x.w.info.Number, y.w.info.Number))
 		}
-		return cmp.Or(cmp.Compare(y.slots, x.slots), cmp.Compare(randomRank(r.ref.Job, x.w), randomRank(r.ref.Job, y.w)))
+		return cmp.Compare(randomRank(r.ref.Job, x.w), randomRank(r.ref.Job, y.w))
 	})
 	expected, need := 0.0, askedCapacityFactor*float64(len(r.waiting))
 	var out []*worker
@@ -259,7 +262,7 @@
 func (s *Scheduler) queueCalls(r *readyStep, a *advice, list []*worker, isRenewal bool) {
 	advisor := r.job.Queue.Advisor
 	size := maxWorkersPerCall
-	if 2*len(s.freeProxies()) > len(s.proxies) {
+	if 2*s.countFreeProxies() > len(s.proxies) {
 		size = splitCallSize
 	}
 	for calls := (len(list) + size - 1) / size; calls > 0; calls-- {
@@ -322,10 +325,13 @@
 // unaskedWorkers returns the workers about which the advisor has not been asked. For a step that
 // is not a gang, it returns only those with capacity for a task.
 func (s *Scheduler) unaskedWorkers(r *readyStep, a *advice) []workerSlots {
-	list := slices.DeleteFunc(s.labeledWorkers(r), func(w *worker) bool {
-		_, granted := a.tickets[w.info.Number]
-		return granted || a.denied[w.info.Number] || a.pending[w.info.Number]
-	})
+	list := s.labeledWorkers(r)
+	if len(a.tickets)+len(a.denied)+len(a.pending) > 0 {
+		list = slices.DeleteFunc(list, func(w *worker) bool {
+			_, granted := a.tickets[w.info.Number]
+			return granted || a.denied[w.info.Number] || a.pending[w.info.Number]
+		})
+	}
 	if r.step.Gang {
 		return s.workersWithSlots(r, list, 0)
 	}
@@ -344,8 +350,8 @@
 // placed, so that the advisor's time goes to jobs that can still be in time. No queue
 // uses more than maxQueueFraction of the proxies for long calls while calls of other queues wait.
 func (s *Scheduler) sendQueuedCalls() {
-	free, keptFree := s.freeProxies(), min(proxiesForShortCalls, len(s.proxies)/2)
-	if !slices.ContainsFunc(s.queuedCalls, func(call *advisorCall) bool { return call.fits(free, keptFree) }) {
+	freeCount, keptFree := s.countFreeProxies(), min(proxiesForShortCalls, len(s.proxies)/2)
+	if !slices.ContainsFunc(s.queuedCalls, func(call *advisorCall) bool { return call.fits(freeCount, keptFree) }) {
 		return
 	}
 	slices.SortStableFunc(s.queuedCalls, func(x, y *advisorCall) int { return x.compareAt(y.urgency, s.wallMillis) })
@@ -356,14 +362,14 @@
 		}
 	}
 	queueLimit := max(int(maxQueueFraction*float64(len(s.proxies)-keptFree)), 1)
-	free = s.sendCallsUpTo(free, keptFree, busy, queueLimit)
+	free := s.sendCallsUpTo(s.freeProxies(), keptFree, busy, queueLimit)
 	s.sendCallsUpTo(free, keptFree, busy, len(s.proxies))
 }
 
-// fits reports whether the call may be sent while the given proxies are free. A long call leaves
+// fits reports whether the call may be sent while a number of proxies is free. A long call leaves
 // keptFree of them free.
-func (call *advisorCall) fits(free []string, keptFree int) bool {
-	return len(free) > 0 && (call.duration <= longCallMin || len(free) > keptFree)
+func (call *advisorCall) fits(free, keptFree int) bool {
+	return free > 0 && (call.duration <= longCallMin || free > keptFree)
 }
 
 // sendCallsUpTo sends queued calls through the free proxies, such that each queue uses at most
@@ -372,7 +378,7 @@
 func (s *Scheduler) sendCallsUpTo(free []string, keptFree int, busy map[string]int, queueLimit int) []string {
 	waiting := s.queuedCalls[:0]
 	for _, call := range s.queuedCalls {
-		if !call.fits(free, keptFree) || busy[call.queue] >= queueLimit {
+		if !call.fits(len(free), keptFree) || busy[call.queue] >= queueLimit {
 			waiting = append(waiting, call)
 			continue
 		}
@@ -386,11 +392,25 @@
 	return free
 }
 
+// isFree reports whether the proxy can take a call.
+func (p *advisorProxy) isFree(now time.Duration) bool { return p.call == nil && now >= p.retryAt }
+
+// countFreeProxies returns the number of proxies that can take a call.
+func (s *Scheduler) countFreeProxies() int {
+	n := 0
+	for _, proxy := range s.proxies {
+		if proxy.isFree(s.now) {
+			n++
+		}
+	}
+	return n
+}
+
 // freeProxies returns the names of the proxies that can take a call, sorted.
 func (s *Scheduler) freeProxies() []string {
 	var free []string
 	for name, proxy := range s.proxies {
-		if proxy.call == nil && s.now >= proxy.retryAt {
+		if proxy.isFree(s.now) {
 			free = append(free, name)
 		}
 	}
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -81,3 +81,29 @@
 	}
 	c.Assert(waiting, qt.Equals, 0)
 }
+
+// Guards against workers that report ends late, because the next renewal waits for a scan of all
+// workers after the ends before are committed.
+func TestRenewalFollowsTheCommitOfEnds(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(1, false)
+	k.run(2 * time.Second)
+	s := k.sched
+	w := s.workers[1]
+	w.isRenewing, s.nextWorkerScan = true, k.now+time.Hour
+	renewals := func() int {
+		n := 0
+		for _, a := range s.Actions() {
+			if _, ok := a.(RenewLease); ok {
+				n++
+			}
+		}
+		return n
+	}
+	end := EndedRun{Number: 1, Task: job.TaskRef{StepRef: job.StepRef{Job: 7}}, Run: 1, Kind: job.EndDone}
+	s.Reported(k.now, 1, k.now, Accepted, Report{StartedMillis: w.info.StartedMillis, ClockMillis: 1, Ended: []EndedRun{end}})
+	c.Assert(renewals(), qt.Equals, 0) // the end has to be committed before it is acknowledged
+	s.Applied(k.now, job.Op{EndsCommitted: &job.EndsCommitted{Worker: 1, UpTo: 1}})
+	c.Assert(renewals(), qt.Equals, 1)
+}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -345,6 +345,7 @@
 
 // scanClaims repeats unanswered orders and stops the members of gangs that have lost one.
 func (s *Scheduler) scanClaims() {
+	brokenGangs := map[gangRun]bool{} // the runs of gangs that were checked
 	for _, c := range s.claims {
 		if c.retryAt != 0 && s.now >= c.retryAt && !c.worker.isOver && !c.worker.hasSuccessor {
 			switch c.phase {
@@ -358,18 +359,29 @@
 				s.sendStop(c, "repeated")
 			}
 		}
-		if c.phase == claimRunning && s.isGangBroken(c) {
+		if c.phase != claimRunning || c.step == nil || !c.step.Gang || s.now-c.startedAt < gangEndGrace {
+			continue
+		}
+		gang := gangRun{c.key.task.StepRef, c.key.run}
+		isBroken, checked := brokenGangs[gang]
+		if !checked {
+			isBroken = s.isGangBroken(c)
+			brokenGangs[gang] = isBroken
+		}
+		if isBroken {
 			s.sendStop(c, "another member of the gang ended")
 		}
 	}
 }
 
-// isGangBroken reports whether another member of the same run of a gang has ended. It is false
-// until the claim is gangEndGrace old.
+// gangRun identifies one run of a gang.
+type gangRun struct {
+	step job.StepRef
+	run  uint32
+}
+
+// isGangBroken reports whether a member of the same run of a claim's gang has ended.
 func (s *Scheduler) isGangBroken(c *claim) bool {
-	if c.step == nil || !c.step.Gang || s.now-c.startedAt < gangEndGrace {
-		return false
-	}
 	j := s.openJob(c.key.task.Job)
 	if j == nil {
 		return false
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,6 +17,9 @@
 	state   *job.StepState // nil before the first claim
 	waiting []uint16       // indexes of the tasks to place
 	urgency                // order in which it is placed
+	// lateness is that of the current pass.
+	lateness lateness
+	isStale  bool // replaced or no longer ready
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
 	// retryAt is when the step is tried again after it found too little capacity, and failures how
@@ -31,21 +34,26 @@
 		s.refreshReady(id)
 	}
 	clear(s.staleJobs)
-	var out []*readyStep
-	for _, steps := range s.ready {
-		out = append(out, steps...)
+	s.ordered = slices.DeleteFunc(s.ordered, func(r *readyStep) bool { return r.isStale })
+	for _, r := range s.ordered {
+		r.lateness = r.latenessAt(s.wallMillis)
 	}
-	slices.SortFunc(out, func(a, b *readyStep) int {
-		return cmp.Or(a.compareAt(b.urgency, s.wallMillis), cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Step, b.ref.Step))
+	slices.SortFunc(s.ordered, func(a, b *readyStep) int {
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.compareInTime(b.urgency), cmp.Compare(a.ref.Job, b.ref.Job),
+			cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
 	})
-	return out
+	return s.ordered
 }
 
 // refreshReady rebuilds the list of a job's ready steps.
 func (s *Scheduler) refreshReady(id job.ID) {
+	previous := s.ready[id]
+	delete(s.ready, id)
+	for _, r := range previous {
+		r.isStale = true
+	}
 	j := s.openJob(id)
 	if j == nil {
-		delete(s.ready, id)
 		return
 	}
 	var steps []*readyStep
@@ -63,17 +71,17 @@
 		steps = s.appendReadySteps(j, n, steps)
 	}
 	if len(steps) == 0 {
-		delete(s.ready, id)
 		return
 	}
 	for _, r := range steps {
-		for _, old := range s.ready[id] {
+		for _, old := range previous {
 			if old.ref == r.ref {
 				r.retryAt, r.failures = old.retryAt, old.failures
 			}
 		}
 	}
 	s.ready[id] = steps
+	s.ordered = append(s.ordered, steps...)
 }
 
 // wakeUp is a timer for a job with an occurrence that is due later.
@@ -268,6 +276,9 @@
 func (s *Scheduler) slots(r *readyStep, w *worker, capacity job.Resources) int {
 	need := r.step.Allocation()
 	n, most := 0, min(len(r.waiting), w.maxNewRuns(r.step))
+	if !capacity.Fits(need) {
+		return 0
+	}
 	for k := s.tasksOnWorker(r, w); capacity.Fits(need) && (r.step.MaxPerWorker == 0 || k < r.step.MaxPerWorker) && n < most; k++ {
 		capacity = capacity.Minus(need)
 		n++
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -43,6 +43,9 @@
 // reserved for other steps.
 func (w *worker) available(ref job.StepRef) job.Resources {
 	free := w.free()
+	if len(w.reserved) == 0 {
+		return free
+	}
 	for other, r := range w.reserved {
 		if other != ref {
 			free = free.Minus(r)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -19,8 +19,8 @@
 	passInterval = 10 * time.Millisecond
 	// workerScanInterval and claimScanInterval are the shortest times between two scans of all
 	// workers and of all claims for timers that have expired.
-	workerScanInterval = 5 * time.Millisecond
-	claimScanInterval  = 25 * time.Millisecond
+	workerScanInterval = 25 * time.Millisecond
+	claimScanInterval  = 50 * time.Millisecond
 	// jobDeletionInterval is the time between two scans for ended jobs that can be deleted.
 	jobDeletionInterval = 5 * time.Second
 )
@@ -56,6 +56,7 @@
 	// ready holds the steps of each job that have tasks to place. staleJobs are the jobs for
 	// which it has to be rebuilt.
 	ready     map[job.ID][]*readyStep
+	ordered   []*readyStep // all ready steps, in the order of the newest pass
 	staleJobs map[job.ID]bool
 	wakeUps   []wakeUp
 	// schedulable holds, by pool, the workers that accept new tasks in the current pass.
@@ -98,7 +99,7 @@
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations = map[job.StepRef]*reservation{}
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
-	s.ready, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, map[job.ID]bool{}, nil
+	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -49,6 +49,10 @@
 // late step comes after all that can be in time, whatever its priority, since it would make
 // those late as well.
 func (u urgency) compareAt(other urgency, wallMillis int64) int {
-	return cmp.Or(cmp.Compare(u.latenessAt(wallMillis), other.latenessAt(wallMillis)), cmp.Compare(u.priority, other.priority),
-		cmp.Compare(u.deadlineMillis, other.deadlineMillis))
+	return cmp.Or(cmp.Compare(u.latenessAt(wallMillis), other.latenessAt(wallMillis)), u.compareInTime(other))
+}
+
+// compareInTime orders steps of the same lateness by priority and deadline.
+func (u urgency) compareInTime(other urgency) int {
+	return cmp.Or(cmp.Compare(u.priority, other.priority), cmp.Compare(u.deadlineMillis, other.deadlineMillis))
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,7 +21,7 @@
 	// maxFirstRenewals limits the first renewals of a term that are sent in one scan. The
 	// simultaneous answers of hundreds of workers would delay the Raft heartbeats of a leader
 	// with little CPU.
-	maxFirstRenewals = 8
+	maxFirstRenewals = 24
 	// maxReportAge is the greatest age of a worker's newest report at which the worker still
 	// gets new tasks.
 	maxReportAge = 2500 * time.Millisecond
@@ -118,7 +118,7 @@
 			s.endIncarnation(w, "silent")
 			continue
 		}
-		if w.hasSuccessor || w.isRenewing || w.uncommittedEnd > 0 || s.now < w.nextRenewal {
+		if !s.isRenewalDue(w) {
 			continue
 		}
 		if !w.hasReported {
@@ -131,6 +131,12 @@
 	}
 }
 
+// isRenewalDue reports whether the next renewal may be sent to a worker now. Ends that were
+// reported have to be committed before.
+func (s *Scheduler) isRenewalDue(w *worker) bool {
+	return !w.isOver && !w.hasSuccessor && !w.isRenewing && w.uncommittedEnd == 0 && s.now >= w.nextRenewal
+}
+
 // renewLease sends a RenewLease to a worker. The worker answers without delay if it has sent no
 // report in this term or if its last renewal failed.
 func (s *Scheduler) renewLease(w *worker) {
@@ -195,6 +201,9 @@
 	s.reconcile(w, requestedAt, r)
 	w.hasReported = true
 	s.needsPass = true
+	if s.isRenewalDue(w) {
+		s.renewLease(w)
+	}
 }
 
 // stepDown gives up the leadership, since a worker has refused an order as one of an old leader.
@@ -287,6 +296,9 @@
 	if w.uncommittedEnd <= w.ackedEnd {
 		w.uncommittedEnd = 0
 	}
+	if w.hasReported && s.isRenewalDue(w) {
+		s.renewLease(w) // the worker waits with it to report further ends
+	}
 }
 
 // sortedWorkers returns the workers in the order of their numbers, so that placement decisions
