replica: committed entries are applied while the next ones are saved

Cause: a Ready batch that had entries to save applied its committed entries only after that save, so on a busy leader each commit waited for the sync of unrelated entries, and with it callers and claims. TestCommittedEntriesAreAppliedDuringASave fails without it.

--- a/replica/group.go
+++ b/replica/group.go
@@ -142,6 +142,9 @@
 			g.completeReady(now, ready)
 			continue
 		}
+		if ready.Snapshot == nil {
+			g.applyAll(now, ready.Committed) // a quorum holds them, so they need not be saved here first
+		}
 		request := saveRequest{ready: ready}
 		request.done = func(err error) { g.eventLoop.PostKind(SavedKind, func() { g.onSaved(request, err) }) }
 		g.startSaving(now, request)
@@ -221,6 +224,10 @@
 	}
 }
 
+// IsSaving reports whether a save request is in flight. Entries that are proposed meanwhile wait
+// until it is done.
+func (g *Group) IsSaving() bool { return g.saving }
+
 // DiskFull reports whether the newest write was refused because the disk is full.
 func (g *Group) DiskFull() bool { return g.diskFullSince != 0 }
 
@@ -239,10 +246,14 @@
 	if ready.Snapshot != nil {
 		g.Restore(*ready.Snapshot)
 	}
-	for _, e := range ready.Committed {
+	g.applyAll(now, ready.Committed)
+	g.Node.Advance(ready)
+}
+
+func (g *Group) applyAll(now time.Duration, entries []raft.Entry) {
+	for _, e := range entries {
 		g.apply(now, e)
 	}
-	g.Node.Advance(ready)
 }
 
 // Restore replaces the state of the state machine by a snapshot. It panics if the snapshot
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -248,3 +248,41 @@
 	c.Assert(g.appliedIndex > compactionInterval, qt.IsTrue)
 	c.Assert(g.appliedIndex-g.compactedIndex <= compactionInterval, qt.IsTrue, qt.Commentf("%d entries applied, %d compacted", g.appliedIndex, g.compactedIndex))
 }
+
+// Guards against callers that wait for the sync of later entries: an entry that a quorum holds is
+// applied while the disk is still busy with the next ones.
+func TestCommittedEntriesAreAppliedDuringASave(t *testing.T) {
+	c := qt.New(t)
+	loop := NewEventLoop() // not run; the test handles its events
+	ids := []raft.NodeID{"vm1#1", "vm2#1", "vm3#1"}
+	node := raft.New(raft.Config{ID: ids[0], Group: "g", Voters: ids}, raft.PersistentState{}, 0)
+	store, applied := &faultyStore{Store: storage.NewMemoryStore()}, &entryLog{}
+	g := NewGroup("g", node, store, applied, loop, func(raft.Message) {}, zap.NewNop())
+	defer g.Stop()
+	appendEntry := func(index, commit uint64) {
+		previousTerm := uint64(1)
+		if index == 2 {
+			previousTerm = 0 // entry 1 is the initial membership
+		}
+		node.Step(0, raft.Message{Kind: raft.MsgAppend, Group: "g", From: ids[1], To: ids[0], Term: 1, Index: index - 1, LogTerm: previousTerm,
+			Entries: []raft.Entry{{Term: 1, Index: index, Data: []byte(fmt.Sprint(index))}}, Commit: commit})
+		g.ProcessReady(0)
+	}
+	finishSave := func() {
+		for g.saving {
+			(<-loop.events).fn()
+			g.ProcessReady(0)
+		}
+	}
+	appendEntry(2, 1)
+	finishSave()
+	c.Assert(applied.entries, qt.HasLen, 0)
+
+	store.stall = make(chan struct{})
+	appendEntry(3, 2)
+	c.Assert(g.saving, qt.IsTrue)
+	c.Assert(applied.entries, qt.DeepEquals, []string{"2"})
+	close(store.stall)
+	finishSave()
+	c.Assert(applied.entries, qt.DeepEquals, []string{"2"})
+}
