cell: operations that wait for the same sync share a log entry

Cause: the leader proposed an entry after each batch of events, 400 to 700 a second, although all that arrive during a save wait for its end. Each entry is encoded, stored and decoded on every replica. Change: while a save is in flight, operations wait and go into one entry, at most 2,048 of them. TestOperationsDuringASaveShareAnEntry fails without it.

--- a/cell/host.go
+++ b/cell/host.go
@@ -224,12 +224,20 @@
 	}
 }
 
-// flush proposes the pending operations as one entry.
+// maxPendingOps is the number of operations that may wait for a save request to end.
+const maxPendingOps = 2048
+
+// flush proposes the pending operations as one entry. While a save request is in flight it waits
+// for more operations: an entry would not be saved sooner, and each entry has its own costs on
+// every replica.
 func (h *replicaHost) flush(now time.Duration) {
 	if len(h.pendingOps) == 0 {
 		h.completeWithoutEntry()
 		return
 	}
+	if h.group.IsSaving() && len(h.pendingOps) < maxPendingOps {
+		return
+	}
 	data, err := job.Encode(h.pendingOps)
 	if err != nil {
 		h.node.log.Panic("operations cannot be encoded", zap.Error(err))
