dispatch: a job with any number of repetitions due at once is served in parts

Found while looking for what one message can do to a whole process: a job whose repetitions are all due (an interval of 0 or below) made the leader build a step for each of them after each event of the job. Change: from 256 ready steps of a job on, its later occurrences wait until earlier ones are placed. Also: the log line of a leader's load starts its interval when the leadership is gained.

--- a/cell/host.go
+++ b/cell/host.go
@@ -191,6 +191,7 @@
 		h.lastSeen, h.leaderSince, h.tolerance = map[string]time.Duration{}, now, toleranceAlarm{}
 		h.state.Members(func(m job.Member) { h.lastSeen[m.Address] = now })
 		h.scheduler.BecomeLeader(now, time.Now().UnixMilli(), h.epoch)
+		h.node.loopLoad.restart(now, h.group.AppliedIndex())
 		h.node.log.Info("leadership gained", zap.Uint64("term", h.epoch), zap.Int64("version", h.state.Config().Version))
 	}
 }
--- a/cell/loopload.go
+++ b/cell/loopload.go
@@ -88,7 +88,13 @@
 		zap.Duration("goroutine_wait_median", median), zap.Duration("goroutine_wait_p95", high), zap.Object("busy_ms", busyField(l.busy)),
 		zap.Uint64("entries", applied-l.applied), zap.Duration("commit_mean", l.commitSum/time.Duration(max(l.commits, 1))), zap.Int("open_jobs", load.OpenJobs), zap.Int("workers", load.Workers),
 		zap.Int("queued_advisor_calls", load.QueuedCalls))
-	l.since, l.events, l.waitSum, l.waitMax, l.commits, l.commitSum, l.counts, l.applied = now, 0, 0, 0, 0, 0, counts, applied
+	l.counts = counts
+	l.restart(now, applied)
+}
+
+// restart starts an interval.
+func (l *loopLoad) restart(now time.Duration, applied uint64) {
+	l.since, l.events, l.waitSum, l.waitMax, l.commits, l.commitSum, l.applied = now, 0, 0, 0, 0, 0, applied
 	clear(l.busy)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,6 +9,10 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
+// maxReadySteps is the number of ready steps of a job from which on its later occurrences wait, since
+// a job may have any number of repetitions that are due at once.
+const maxReadySteps = 256
+
 // readyStep is a step whose dependencies are done, with tasks that may start now.
 type readyStep struct {
 	job     *job.Job
@@ -68,7 +72,9 @@
 			}
 			break // later occurrences are due later
 		}
-		steps = s.appendReadySteps(j, n, steps)
+		if steps = s.appendReadySteps(j, n, steps); len(steps) >= maxReadySteps {
+			break
+		}
 	}
 	if len(steps) == 0 {
 		return
