dispatch: after a report, only the scan sends the next renewal

Read over: a worker that answers its renewals at once, whatever wait they ask for, would have been asked again without a pause since. Renewals after the commit of ends, which paces them, are still sent at once; the others wait for the scan (25 ms).

--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -63,7 +63,7 @@
 	switch {
 	case s.isPreempting(r.ref):
 		most = placementRetryMin // its tickets expire soon
-	case r.latenessAt(s.wallMillis) != inTime:
+	case r.lateness != inTime:
 		most = lateRetryMax
 	}
 	delay := min(placementRetryMin<<min(r.failures, 4), most)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -15,15 +15,14 @@
 
 // readyStep is a step whose dependencies are done, with tasks that may start now.
 type readyStep struct {
-	job     *job.Job
-	ref     job.StepRef
-	step    *job.Step
-	state   *job.StepState // nil before the first claim
-	waiting []uint16       // indexes of the tasks to place
-	urgency                // order in which it is placed
-	// lateness is that of the current pass.
-	lateness lateness
-	isStale  bool // replaced or no longer ready
+	job      *job.Job
+	ref      job.StepRef
+	step     *job.Step
+	state    *job.StepState // nil before the first claim
+	waiting  []uint16       // indexes of the tasks to place
+	urgency                 // order in which it is placed
+	lateness lateness       // at the start of the newest pass
+	isStale  bool           // replaced or no longer ready
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
 	// retryAt is when the step is tried again after it found too little capacity, and failures how
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -201,9 +201,6 @@
 	s.reconcile(w, requestedAt, r)
 	w.hasReported = true
 	s.needsPass = true
-	if s.isRenewalDue(w) {
-		s.renewLease(w)
-	}
 }
 
 // stepDown gives up the leadership, since a worker has refused an order as one of an old leader.
