replica: the log is compacted by size too

A keeper that lost its disk at 31 s had applied 3,503 of 3,919 entries when two other disks were lost at 38.5 s, and was not a voter yet, so two of four voters were left. Change: the log is also compacted after 512 KiB of entries, every five to ten seconds under this load, as often as before. TestBusyGroupCompactsItsLog now has large entries too, and fails without the change.

--- a/replica/group.go
+++ b/replica/group.go
@@ -54,6 +54,9 @@
 	appliedIndex  uint64
 	// compactedIndex is the index of the newest snapshot that was taken or received.
 	compactedIndex uint64
+	// appliedBytes is the size of the entries that were applied since the start, compactedBytes
+	// that up to compactedIndex.
+	appliedBytes, compactedBytes uint64
 }
 
 // saveRequest asks the storage goroutine to save a Ready batch or, if snapshot is not nil, a
@@ -79,8 +82,13 @@
 // SavedKind is the kind of the events that report the end of a save request.
 const SavedKind = "saved"
 
-// compactionInterval is the number of applied entries after which the log is compacted.
-const compactionInterval = 4096
+// The log is compacted after compactionInterval applied entries, or entries with compactionBytes of
+// data if that is earlier: a member that returns with an empty disk must be sent the log in seconds,
+// and an entry may hold thousands of operations.
+const (
+	compactionInterval = 4096
+	compactionBytes    = 512 << 10
+)
 
 // NewGroup returns a group and starts its storage goroutine, which Stop ends. send is
 // called on the event loop goroutine for each outgoing message.
@@ -262,7 +270,7 @@
 	if err := g.stateMachine.Restore(s.Data); err != nil {
 		g.log.Panic("snapshot cannot be decoded", zap.Error(err), zap.Uint64("index", s.Index))
 	}
-	g.appliedIndex, g.compactedIndex = s.Index, s.Index
+	g.appliedIndex, g.compactedIndex, g.compactedBytes = s.Index, s.Index, g.appliedBytes
 }
 
 // apply applies an entry that has data and was not yet applied.
@@ -271,6 +279,7 @@
 		return
 	}
 	g.appliedIndex = e.Index
+	g.appliedBytes += uint64(len(e.Data))
 	if e.Kind == raft.EntryNormal && len(e.Data) > 0 {
 		g.stateMachine.Apply(now, e)
 	}
@@ -279,11 +288,12 @@
 // maybeCompact takes a snapshot and queues it to be saved, if enough entries were applied
 // since the last one.
 func (g *Group) maybeCompact(now time.Duration) {
-	if g.saving || g.storageFailed || g.appliedIndex < g.compactedIndex+compactionInterval || now < g.retryAt {
+	isDue := g.appliedIndex >= g.compactedIndex+compactionInterval || g.appliedBytes >= g.compactedBytes+compactionBytes
+	if g.saving || g.storageFailed || !isDue || now < g.retryAt {
 		return
 	}
-	previous := g.compactedIndex
-	g.compactedIndex = g.appliedIndex
+	previous, previousBytes := g.compactedIndex, g.compactedBytes
+	g.compactedIndex, g.compactedBytes = g.appliedIndex, g.appliedBytes
 	snap, err := g.Node.Compact(g.appliedIndex, g.stateMachine.Snapshot())
 	if err != nil {
 		g.log.Debug("log not compacted", zap.Error(err))
@@ -291,18 +301,20 @@
 	}
 	g.log.Info("log compacted", zap.Uint64("index", snap.Index), zap.Uint64("entries", snap.Index-previous), zap.Int("bytes", len(snap.Data)),
 		zap.Duration("took", g.eventLoop.Now()-now))
-	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) { g.eventLoop.PostKind(SavedKind, func() { g.onCompacted(previous, err) }) }})
+	g.startSaving(now, saveRequest{snapshot: &snap, done: func(err error) {
+		g.eventLoop.PostKind(SavedKind, func() { g.onCompacted(previous, previousBytes, err) })
+	}})
 }
 
 // onCompacted handles the result of saving a snapshot. If the disk was full, the log on the
 // disk stays as it is, and a newer snapshot is taken later.
-func (g *Group) onCompacted(previousIndex uint64, err error) {
+func (g *Group) onCompacted(previousIndex, previousBytes uint64, err error) {
 	g.saving = false
 	now := g.eventLoop.Now()
 	switch {
 	case errors.Is(err, storage.ErrDiskFull):
 		g.onDiskFull(now, err)
-		g.compactedIndex, g.retryAt = previousIndex, now+diskFullRetryInterval
+		g.compactedIndex, g.compactedBytes, g.retryAt = previousIndex, previousBytes, now+diskFullRetryInterval
 	case err != nil:
 		g.failStorage(now, err)
 	default:
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -240,13 +240,24 @@
 	for ; g.Node.Role() != raft.RoleLeader && now < time.Minute; now += tickInterval {
 		pass(now)
 	}
-	for range 2 * compactionInterval {
-		_, _, err := g.Node.Propose(now, []byte("entry"))
+	propose := func(data []byte) {
+		_, _, err := g.Node.Propose(now, data)
 		c.Assert(err, qt.IsNil)
 		pass(now)
 	}
+	for range 2 * compactionInterval {
+		propose([]byte("entry"))
+	}
 	c.Assert(g.appliedIndex > compactionInterval, qt.IsTrue)
 	c.Assert(g.appliedIndex-g.compactedIndex <= compactionInterval, qt.IsTrue, qt.Commentf("%d entries applied, %d compacted", g.appliedIndex, g.compactedIndex))
+
+	large := make([]byte, compactionBytes/16)
+	before := g.compactedIndex
+	for range 40 {
+		propose(large)
+	}
+	c.Assert(g.compactedIndex > before, qt.IsTrue)
+	c.Assert(g.appliedIndex-g.compactedIndex <= 16, qt.IsTrue, qt.Commentf("%d large entries since the last compaction", g.appliedIndex-g.compactedIndex))
 }
 
 // Guards against callers that wait for the sync of later entries: an entry that a quorum holds is
