job, cell, dispatch: types of client accounts and of rejections

A configuration may hold client accounts: a name, digests of keys, a weight and a limit. Config.Check rejects ambiguous or out-of-range accounts without showing a key. Calls carry the digest of a key, replies the time to return.

--- a/cell/messages.go
+++ b/cell/messages.go
@@ -39,6 +39,8 @@
 	Config       *job.Config   `cbor:"5,keyasint,omitempty"`
 	Announcement *Announcement `cbor:"6,keyasint,omitempty"`
 	Worker       string        `cbor:"7,keyasint,omitempty"` // worker name, for SignOff
+	// Key is the digest of the key with which the caller identifies its account, nil if it sent none.
+	Key *job.KeyDigest `cbor:"8,keyasint,omitempty"`
 }
 
 // Code is the outcome of a call.
@@ -59,11 +61,19 @@
 	// Unknown means that no definite reply arrived before the deadline; the call may have
 	// been executed.
 	Unknown
+	// Unauthenticated means that the queue needs a key of a client account and the call has none
+	// that the configuration in force contains.
+	Unauthenticated
+	// LimitExceeded means that the job can never run within the limit of its account.
+	LimitExceeded
+	// Overloaded means that the job was rejected because there is too little capacity to finish it
+	// while its result is of use.
+	Overloaded
 )
 
 // String returns the name of the code in logs and metrics.
 func (c Code) String() string {
-	names := [...]string{"none", "ok", "not_leader", "interrupted", "no_config", "no_queue", "no_job", "bad_call", "conflict", "unavailable", "unknown"}
+	names := [...]string{"none", "ok", "not_leader", "interrupted", "no_config", "no_queue", "no_job", "bad_call", "conflict", "unavailable", "unknown", "unauthenticated", "limit_exceeded", "overloaded"}
 	if int(c) < len(names) {
 		return names[c]
 	}
@@ -86,12 +96,14 @@
 type Reply struct {
 	Code     Code      `cbor:"1,keyasint"`
 	Leader   string    `cbor:"2,keyasint,omitempty"`
-	Text     string    `cbor:"3,keyasint,omitempty"` // what is wrong, for BadCall and Conflict
+	Text     string    `cbor:"3,keyasint,omitempty"` // what is wrong, for codes that reject a call
 	Status   JobStatus `cbor:"4,keyasint,omitempty"`
 	Pending  int       `cbor:"5,keyasint,omitempty"` // open jobs of the queue that have not started
 	Document []byte    `cbor:"6,keyasint,omitempty"` // the document of the configuration
 	// PublicAddress is the address at which the leader itself accepts announcements.
 	PublicAddress string `cbor:"7,keyasint,omitempty"`
+	// RetryAfterMillis is when a rejected caller should try again, 0 if the leader does not know.
+	RetryAfterMillis int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // JoinArgs announces a VM to the leader.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// ordersByCost reports whether order, preemption, admission and placement follow what they cost
+// callers when there is too little capacity.
+func (s *Scheduler) ordersByCost() bool {
+	return s.settings.OrderByCost || s.state.Config().HasAccounts
+}
+
 // leaseDuration returns the duration of the lease that orders ask for.
 func (s *Scheduler) leaseDuration() time.Duration {
 	if s.settings.MaxLease > 0 {
--- a/job/config.go
+++ b/job/config.go
@@ -23,6 +23,8 @@
 	SlackFactor  float64        `cbor:"7,keyasint,omitempty"` // the objective is the critical path times this factor plus TargetMillis
 	TargetMillis int64          `cbor:"8,keyasint,omitempty"` // constant part of the objective
 	Advisor      *AdvisorConfig `cbor:"9,keyasint,omitempty"`
+	// Public means that callers need no key. It has an effect only if accounts are configured.
+	Public bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Pool is the set of workers that announce its name.
@@ -42,10 +44,13 @@
 	Document []byte  `cbor:"2,keyasint"`
 	Queues   []Queue `cbor:"3,keyasint"`
 	Pools    []Pool  `cbor:"4,keyasint"`
+	// HasAccounts means that callers need a key of one of the Accounts.
+	HasAccounts bool      `cbor:"5,keyasint,omitempty"`
+	Accounts    []Account `cbor:"6,keyasint,omitempty"`
 }
 
-// Check returns an error if a pool is defined twice, a queue names an unknown pool, or two
-// queues have the same host and prefix.
+// Check returns an error if a pool is defined twice, a queue names an unknown pool, two queues have
+// the same host and prefix, or an account is invalid.
 func (c *Config) Check() error {
 	pools := map[string]bool{}
 	for _, p := range c.Pools {
@@ -66,7 +71,7 @@
 		}
 		routesByLocation[loc] = q.Name
 	}
-	return nil
+	return checkAccounts(c.Accounts)
 }
 
 // queueIndex holds the queues of each host.
--- a/job/op.go
+++ b/job/op.go
@@ -32,7 +32,8 @@
 	ID             ID     `cbor:"1,keyasint"`
 	Queue          string `cbor:"2,keyasint"`
 	Spec           Spec   `cbor:"3,keyasint"`
-	AcceptedMillis int64  `cbor:"4,keyasint"` // Unix milliseconds
+	AcceptedMillis int64  `cbor:"4,keyasint"`           // Unix milliseconds
+	Account        string `cbor:"5,keyasint,omitempty"` // name of the account that submitted the job, if any
 }
 
 // Cancel cancels a job.
--- a/job/record.go
+++ b/job/record.go
@@ -104,6 +104,8 @@
 	Occurrences map[uint32]*Occurrence `cbor:"8,keyasint,omitempty"`
 	// FinishedOccurrences holds the numbers of the occurrences that are done.
 	FinishedOccurrences map[uint32]bool `cbor:"9,keyasint,omitempty"`
+	// Account is the name of the account that submitted the job, empty if no key was needed.
+	Account string `cbor:"10,keyasint,omitempty"`
 }
 
 // DueMillis returns the Unix time in milliseconds at which an occurrence may start, 0 for a job without
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -33,7 +33,7 @@
 	}
 	fresh := NewState()
 	fresh.config, fresh.lastWorker = snapshot.Config, snapshot.LastWorker
-	fresh.queues = newQueueIndex(fresh.config.Queues)
+	fresh.queues, fresh.accounts = newQueueIndex(fresh.config.Queues), newAccountIndex(fresh.config.Accounts)
 	if snapshot.Jobs != nil {
 		fresh.jobs = snapshot.Jobs
 	}
--- a/job/state.go
+++ b/job/state.go
@@ -12,6 +12,7 @@
 type State struct {
 	config     Config
 	queues     queueIndex
+	accounts   accountIndex
 	jobs       map[ID]*Job
 	openJobs   map[ID]*Job // the jobs whose outcome is Open
 	workers    map[uint32]*Worker
@@ -124,7 +125,7 @@
 func (s *State) setConfig(c Config) {
 	if c.Version > s.config.Version {
 		s.config = c
-		s.queues = newQueueIndex(s.config.Queues)
+		s.queues, s.accounts = newQueueIndex(s.config.Queues), newAccountIndex(s.config.Accounts)
 	}
 }
 
@@ -156,7 +157,7 @@
 	}
 	for i := range s.config.Queues {
 		if q := s.config.Queues[i]; q.Name == o.Queue {
-			j := &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis}
+			j := &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis, Account: o.Account}
 			s.jobs[o.ID], s.openJobs[o.ID] = j, j
 			return
 		}
