--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -60,6 +60,7 @@
 	// startMayArrive is set once a start got no reply, or if an earlier leader sent one: a
 	// copy of the order may still be in flight.
 	startMayArrive bool
+	hasResumed     bool // the newest start carried a checkpoint
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
 	isListed  bool
@@ -190,7 +191,7 @@
 		s.withdrawClaim(c, "job ended before its start was sent")
 		return
 	}
-	c.phase, c.retryAt = claimSent, 0
+	c.phase, c.retryAt, c.hasResumed = claimSent, 0, c.checkpoint != ""
 	s.actions = append(s.actions, Start{Order: s.newOrder(c.worker), Task: c.key.task, Run: c.key.run,
 		Payload: j.Spec.Payload, Checkpoint: c.checkpoint, Ticket: c.ticket})
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -80,7 +80,7 @@
 	}
 	if !r.step.Gang {
 		t := &r.state.Tasks[index]
-		return max(t.Run, t.SpeculativeRun) + 1, t.Checkpoint
+		return max(t.Run, t.SpeculativeRun) + 1, s.checkpointToResume(job.TaskRef{StepRef: r.ref, Index: index}, t.Checkpoint)
 	}
 	run, checkpoint, checkpointRun := uint32(0), "", uint32(0)
 	for i := range r.state.Tasks {
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -247,6 +247,11 @@
 			}
 		}
 		slices.SortFunc(victims, func(a, b *claim) int {
+			if s.ordersByCost() {
+				if c := cmp.Compare(s.preemptionCost(a), s.preemptionCost(b)); c != 0 {
+					return c
+				}
+			}
 			return cmp.Or(boolToInt(!a.step.Checkpointing)-boolToInt(!b.step.Checkpointing), cmp.Compare(b.startedAt, a.startedAt),
 				cmp.Compare(a.key.task.String(), b.key.task.String()))
 		})
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -47,8 +47,9 @@
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
 	reservations    map[job.StepRef]*reservation
-	lastFailedOn    map[job.TaskRef]uint32 // number of the worker on which a task failed last
-	startedJobs     map[job.ID]bool        // open jobs for which a worker has confirmed a start
+	lastFailedOn    map[job.TaskRef]uint32        // number of the worker on which a task failed last
+	savedWork       map[job.TaskRef]time.Duration // work in the newest checkpoint, where this leader knows it
+	startedJobs     map[job.ID]bool               // open jobs for which a worker has confirmed a start
 	proxies         map[string]*advisorProxy
 	queuedCalls     []*advisorCall
 	grantRates      map[string]float64 // mean fraction of the workers asked about that the advisor grants, by queue
@@ -95,6 +96,7 @@
 	s.workers, s.byName, s.workersByNumber = map[uint32]*worker{}, map[string][]*worker{}, nil
 	s.claims, s.claimsByJob, s.proposedClaims = map[claimKey]*claim{}, map[job.ID]map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
+	s.savedWork = map[job.TaskRef]time.Duration{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations = map[job.StepRef]*reservation{}
@@ -240,6 +242,7 @@
 		s.propose(job.Op{DeleteJobs: ids})
 	}
 	maps.DeleteFunc(s.lastFailedOn, func(ref job.TaskRef, _ uint32) bool { return s.openJob(ref.Job) == nil })
+	maps.DeleteFunc(s.savedWork, func(ref job.TaskRef, _ time.Duration) bool { return s.openJob(ref.Job) == nil })
 	maps.DeleteFunc(s.startedJobs, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -275,6 +275,9 @@
 		if checkpoint == "" {
 			checkpoint = c.checkpoint
 		}
+		if checkpoint != "" {
+			s.recordSavedWork(c)
+		}
 		s.recordHealth(w, c, e.Kind)
 		s.removeClaim(c)
 	}
