cell, platform: callers are identified by the keys of client accounts

A configuration may list accounts ("tenants") with keys, and routes that are public. The entry VM sends the digest of a caller's key; the leader looks it up in the configuration that it has applied, after the route and before the job, and answers Unauthenticated (401) without a valid one. Jobs are stored with their account and are hidden from other accounts.

A submit or cancel whose earlier attempt may have run is answered Unknown instead of Unauthenticated: the key may have been withdrawn between the attempts, and 401 would say that the job has not run.

--- a/cell/forward.go
+++ b/cell/forward.go
@@ -29,7 +29,7 @@
 		switch reply.Code {
 		case NotLeader, Interrupted:
 		default:
-			return reply
+			return settle(c, reply, uncertain)
 		}
 		timer := time.NewTimer(retryInterval)
 		select {
--- a/cell/host.go
+++ b/cell/host.go
@@ -84,7 +84,7 @@
 	switch {
 	case op.Submit != nil && h.epoch != 0 && h.state.Job(op.Submit.ID) != nil:
 		spec := &op.Submit.Spec
-		h.node.log.Info("job accepted", zap.Stringer("job", op.Submit.ID), zap.String("route", op.Submit.Queue),
+		h.node.log.Info("job accepted", zap.Stringer("job", op.Submit.ID), zap.String("route", op.Submit.Queue), accountField(op.Submit.Account),
 			zap.Array("steps", stepsField(spec.Steps)), zap.Int("repetitions", spec.Repetitions), zap.Int64("version", h.state.Config().Version))
 	case op.Cancel != nil && h.epoch != 0:
 		h.node.log.Info("job cancelled", zap.Stringer("job", op.Cancel.ID))
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// serveCaller serves a caller's request about one queue.
+// serveCaller serves a caller's request about one queue. The queue, the key and the account are those
+// of the configuration that this replica has applied, so a change is in force with its commit.
 func (h *replicaHost) serveCaller(c Call, done func(Reply)) {
 	if h.state.Config().Version == 0 {
 		done(Reply{Code: NoConfig})
@@ -49,6 +50,11 @@
 		done(Reply{Code: NoQueue})
 		return
 	}
+	account, err := h.authenticate(q, c.Key)
+	if err != nil {
+		done(Reply{Code: Unauthenticated, Text: err.Error()})
+		return
+	}
 	if c.Kind == CountPending || c.Kind == QueryJob && c.Path == q.Prefix {
 		done(Reply{Code: OK, Pending: h.scheduler.PendingJobs(q.Name)})
 		return
@@ -60,11 +66,11 @@
 	}
 	switch c.Kind {
 	case SubmitJob:
-		h.submit(id, q, c, done)
+		h.submit(id, q, account, c, done)
 	case CancelJob:
-		h.cancel(id, q, done)
+		h.cancel(id, q, account, done)
 	default:
-		h.query(id, q, done)
+		h.query(id, q, account, done)
 	}
 }
 
@@ -81,15 +87,16 @@
 
 // submission is a call that waits for the Submit of its job to be applied.
 type submission struct {
-	call  Call
-	queue string // that the call selected
-	done  func(Reply)
+	call    Call
+	queue   string // that the call selected
+	account string // of the call's key, empty if the call needed none and has none
+	done    func(Reply)
 }
 
 // submit replies when the job is stored. It serves the call again if a configuration that was applied
 // before the Submit has removed its queue, in which case the Submit has stored nothing.
-func (h *replicaHost) submit(id job.ID, q *job.Queue, c Call, done func(Reply)) {
-	s := submission{c, q.Name, done}
+func (h *replicaHost) submit(id job.ID, q *job.Queue, account string, c Call, done func(Reply)) {
+	s := submission{c, q.Name, account, done}
 	if j := h.state.Job(id); j != nil {
 		s.reply(j)
 		return
@@ -108,7 +115,7 @@
 	}
 	h.submitting[id] = []submission{s}
 	h.propose(func(committed bool) { h.submitApplied(id, committed) },
-		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli()}})
+		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
 }
 
 // submitApplied replies to the calls that wait for a job's Submit, from the state after it.
@@ -132,17 +139,20 @@
 
 // reply replies from the stored job with the call's ID.
 func (s submission) reply(j *job.Job) {
-	if j.Queue.Name != s.queue {
+	switch {
+	case j.Queue.Name != s.queue:
 		s.done(Reply{Code: Conflict, Text: "this id is in use on another route"})
-		return
+	case !isVisible(j, s.account):
+		s.done(Reply{Code: Conflict, Text: "this id is in use by another account"})
+	default:
+		s.done(Reply{Code: OK})
 	}
-	s.done(Reply{Code: OK})
 }
 
-func (h *replicaHost) cancel(id job.ID, q *job.Queue, done func(Reply)) {
+func (h *replicaHost) cancel(id job.ID, q *job.Queue, account string, done func(Reply)) {
 	j := h.state.Job(id)
 	switch {
-	case j == nil || j.Queue.Name != q.Name:
+	case j == nil || j.Queue.Name != q.Name || !isVisible(j, account):
 		done(Reply{Code: NoJob})
 	case j.Outcome != job.Open:
 		done(Reply{Code: OK})
@@ -151,9 +161,9 @@
 	}
 }
 
-func (h *replicaHost) query(id job.ID, q *job.Queue, done func(Reply)) {
+func (h *replicaHost) query(id job.ID, q *job.Queue, account string, done func(Reply)) {
 	j := h.state.Job(id)
-	if j == nil || j.Queue.Name != q.Name {
+	if j == nil || j.Queue.Name != q.Name || !isVisible(j, account) {
 		done(Reply{Code: NoJob})
 		return
 	}
