dispatch, fairshare: limits of client accounts

Runs of an account may together take at most its limit. Usage by account follows addClaim and removeClaim, so it includes proposed, adopted, moved and unclaimed runs, and a new leader knows it before its first start. A step beyond the limit waits without reservation, preemption or calls to the advisor. A gang that the limit has blocked for 1 s keeps the room that becomes free from later steps of its account, which would keep it waiting for ever.

The arithmetic of shares and quotas of package placement moves to package fairshare.

--- /dev/null
+++ b/dispatch/account.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oleanderchute/oleanderchute/fairshare"
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+// limitHoldDelay is how long the limit of an account may block a gang before later steps of the
+// account leave it the room that becomes free below the limit. Without this a stream of small tasks
+// keeps a gang waiting for ever. Most runs last for seconds, and a shorter delay would leave the
+// account below its limit for gangs that start soon anyway.
+const limitHoldDelay = time.Second
+
+// dimensions are the resources in the order of amounts.
+var dimensions = [...]string{"milli_cpu", "memory_mb", "gpu"}
+
+// amounts holds an amount of each of the dimensions.
+type amounts [len(dimensions)]int64
+
+func amountsOf(r job.Resources) amounts { return amounts{r.MilliCPU, r.MemoryMB, r.GPU} }
+
+func (a *amounts) add(o amounts) {
+	for d := range a {
+		a[d] += o[d]
+	}
+}
+
+func (a *amounts) subtract(o amounts) {
+	for d := range a {
+		a[d] -= o[d]
+	}
+}
+
+// accountUsage is the soft state of one client account: what its runs take on all workers, and what
+// its limit blocks.
+type accountUsage struct {
+	name  string
+	used  amounts // by all claims of its jobs
+	limit amounts // fairshare.NoLimit in a dimension without one
+	// held is kept below the limit in the current pass for gangs that the limit has blocked for
+	// limitHoldDelay.
+	held amounts
+	// blockedInPass counts the steps that the limit has blocked in the current pass, blockedSteps
+	// those of the newest complete pass.
+	blockedInPass, blockedSteps int
+	isBlocking                  bool // the decision that the limit is reached was recorded
+}
+
+// accountNamed returns the usage of an account, creating it if it is absent. It returns nil for the
+// empty name, which jobs without an account have.
+func (s *Scheduler) accountNamed(name string) *accountUsage {
+	if name == "" {
+		return nil
+	}
+	a := s.accounts[name]
+	if a == nil {
+		a = &accountUsage{name: name}
+		a.configure(s.state.Account(name))
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// configure sets the limit from the configuration. An account that the configuration no longer
+// contains, for which info is nil, has none.
+func (a *accountUsage) configure(info *job.Account) {
+	a.limit = limitOf(info)
+}
+
+// limitOf returns the limit of an account, or no limit if info is nil.
+func limitOf(info *job.Account) amounts {
+	limit := amounts{}
+	if info != nil {
+		limit = amountsOf(info.Limit)
+	}
+	for d := range limit {
+		if limit[d] == 0 {
+			limit[d] = fairshare.NoLimit
+		}
+	}
+	return limit
+}
+
+// addUsage adds the allocation of a claim to the usage of its job's account.
+func (s *Scheduler) addUsage(c *claim) {
+	if j := s.state.Job(c.key.task.Job); j != nil {
+		c.account = s.accountNamed(j.Account)
+	}
+	if c.account != nil {
+		c.account.used.add(amountsOf(c.allocation()))
+	}
+}
+
+// removeUsage subtracts the allocation of a claim from the usage to which it was added.
+func (s *Scheduler) removeUsage(c *claim) {
+	if c.account != nil {
+		c.account.used.subtract(amountsOf(c.allocation()))
+	}
+}
+
+// beginAccountPass prepares the accounts for a scheduling pass. It takes limits from the newest
+// configuration.
+func (s *Scheduler) beginAccountPass() {
+	version := s.state.Config().Version
+	for name, a := range s.accounts {
+		if version != s.accountsVersion {
+			a.configure(s.state.Account(name))
+		}
+		a.held, a.blockedInPass = amounts{}, 0
+	}
+	s.accountsVersion = version
+}
+
+// endAccountPass ends a pass in which all ready steps took part.
+func (s *Scheduler) endAccountPass() {
+	for _, a := range s.accounts {
+		a.blockedSteps = a.blockedInPass
+		a.isBlocking = a.isBlocking && a.blockedSteps > 0
+	}
+}
+
+// startsWithinLimit returns how many waiting tasks of a step may start within the limit of its
+// account: all or none of a gang.
+func (s *Scheduler) startsWithinLimit(r *readyStep) int {
+	a, n := r.account, int64(len(r.waiting))
+	if a == nil {
+		return len(r.waiting)
+	}
+	used, each := a.used, amountsOf(r.step.Allocation())
+	used.add(a.held)
+	fitting := fairshare.Fitting(used[:], each[:], a.limit[:], n)
+	if r.step.Gang && fitting < n {
+		return 0
+	}
+	return int(fitting)
+}
+
+// blockByLimit handles a step with tasks that the limit of its account keeps waiting. Such a step
+// needs no capacity now, so it gives up its reservation and its calls to the advisor. It takes part
+// in the next pass, which the end of any run triggers.
+func (s *Scheduler) blockByLimit(r *readyStep) {
+	a := r.account
+	s.releaseReservation(r.ref)
+	if advice := s.advice[r.ref]; advice != nil && advice.openCalls > 0 {
+		s.dropQueuedCalls(r.ref)
+	}
+	r.retryAt, r.failures = 0, 0
+	if r.blockedSince == 0 {
+		r.blockedSince = s.now
+	}
+	a.blockedInPass++
+	if a.isBlocking {
+		return
+	}
+	a.isBlocking = true
+	n := int64(1)
+	if r.step.Gang {
+		n = int64(len(r.waiting))
+	}
+	s.record(Decision{Event: "limit reached", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref},
+		Reason: a.limitReason(amountsOf(r.step.Allocation()), n), ConfigVersion: s.state.Config().Version})
+}
+
+// holdLimit keeps the room that a waiting gang needs below the limit of its account free of later
+// steps of the account, if the limit has blocked the gang for limitHoldDelay. It does nothing for a
+// gang that the limit does not allow at all, since it was lowered, or whose result is worth nothing.
+func (s *Scheduler) holdLimit(r *readyStep) {
+	if !r.step.Gang || r.blockedSince == 0 || s.now-r.blockedSince < limitHoldDelay || r.lateness == worthless {
+		return
+	}
+	each, none, n := amountsOf(r.step.Allocation()), amounts{}, int64(len(r.waiting))
+	if fairshare.FirstExceeded(none[:], each[:], r.account.limit[:], n) >= 0 {
+		return
+	}
+	for d, limit := range r.account.limit {
+		if limit != fairshare.NoLimit {
+			r.account.held[d] += each[d] * n
+		}
+	}
+}
+
+// limitReason says in which dimension n tasks would bring the account above its limit.
+func (a *accountUsage) limitReason(each amounts, n int64) string {
+	used := a.used
+	used.add(a.held)
+	d := fairshare.FirstExceeded(used[:], each[:], a.limit[:], n)
+	if d < 0 {
+		return "account " + a.name
+	}
+	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for gangs; %d tasks of %d each wait",
+		a.name, a.used[d], a.limit[d], dimensions[d], a.held[d], n, each[d])
+}
+
+// ExceedsLimit reports whether a job can never run because one of its tasks or gangs alone needs more
+// than the limit of an account, and in which dimension.
+func (s *Scheduler) ExceedsLimit(spec *job.Spec, account string) (reason string, exceeds bool) {
+	info := s.state.Account(account)
+	if info == nil {
+		return "", false
+	}
+	limit, none := limitOf(info), amounts{}
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		n, what := int64(1), "a task"
+		if step.Gang {
+			n, what = int64(step.Count), fmt.Sprintf("a gang of %d tasks", step.Count)
+		}
+		each := amountsOf(step.Allocation())
+		if d := fairshare.FirstExceeded(none[:], each[:], limit[:], n); d >= 0 {
+			return fmt.Sprintf("step %d: %s of %s %d each exceeds the limit of account %s, %d", i, what, dimensions[d], each[d], account, limit[d]), true
+		}
+	}
+	return "", false
+}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -67,7 +67,8 @@
 	// latenessWhenPlaced is the lateness of its step when the claim was made; inTime if an earlier
 	// leader made it.
 	latenessWhenPlaced lateness
-	poolPriority       poolPriority // pool and priority under which its processors count in allocatedCPU
+	poolPriority       poolPriority  // pool and priority under which its processors count in allocatedCPU
+	account            *accountUsage // under which its allocation counts, nil if its job has no account
 }
 
 // mustBeInReport reports whether a report that was requested at a time must list the run or its
@@ -110,6 +111,7 @@
 	if step != nil {
 		c.poolPriority = s.poolPriorityOf(ref.Job, w.info.Pool)
 		s.allocatedCPU[c.poolPriority] += step.Allocation().MilliCPU
+		s.addUsage(c)
 		w.allocated = w.allocated.Plus(step.Allocation())
 		if step.BestEffortCPU {
 			w.bestEffortCPU += step.TaskResources.MilliCPU
@@ -131,6 +133,7 @@
 	}
 	if c.step != nil {
 		s.allocatedCPU[c.poolPriority] -= c.allocation().MilliCPU
+		s.removeUsage(c)
 		c.worker.allocated = c.worker.allocated.Minus(c.step.Allocation())
 		if c.step.BestEffortCPU {
 			c.worker.bestEffortCPU -= c.step.TaskResources.MilliCPU
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -36,6 +36,11 @@
 	ackedDone map[job.TaskRef]bool
 	lastStart map[job.TaskRef]time.Duration
 	gangs     map[gangKey][]*fakeRun
+	// limits are the limits of accounts of each configuration, and claimedAt when each claim was
+	// proposed.
+	limits      []limitsInForce
+	lastVersion int64 // of the configurations that setLimits has proposed
+	claimedAt   map[claimKey]time.Duration
 	// spent is the real time that the scheduler took, and startedRuns the number of starts.
 	spent       time.Duration
 	startedRuns int
@@ -73,7 +78,8 @@
 
 func newCluster(seed uint64, f faults) *cluster {
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f, adviceLatency: 50 * time.Millisecond,
-		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{}}
+		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{},
+		claimedAt: map[claimKey]time.Duration{}}
 	c.electLeader()
 	c.schedule(0, c.scheduleTicks)
 	return c
@@ -199,6 +205,7 @@
 // the order of the log, and one that is lost with its leader takes all later ones with it.
 func (c *cluster) propose(ops []job.Op) {
 	term := c.term
+	c.noteClaims(ops)
 	c.lastCommitAt = max(c.lastCommitAt, c.now+time.Duration(5+c.rng.IntN(15))*time.Millisecond)
 	c.schedule(c.lastCommitAt-c.now, func() {
 		if c.term != term || c.truncatedTerm == term {
@@ -210,6 +217,7 @@
 		}
 		for _, op := range ops {
 			c.state.Apply(op)
+			c.noteLimits(op)
 			if !c.noLeader {
 				c.measure(func() { c.sched.Applied(c.now, op) })
 			}
--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -24,8 +24,10 @@
 // runPass runs a scheduling pass: it tries to place the waiting tasks of the ready steps, the most
 // urgent steps first, until it has examined maxExaminedPerPass workers.
 func (s *Scheduler) runPass() {
+	s.beginAccountPass()
 	ready := s.readySteps()
 	if len(ready) == 0 {
+		s.endAccountPass()
 		return
 	}
 	s.releaseStaleReservations()
@@ -39,6 +41,7 @@
 		}
 		s.placeStep(r)
 	}
+	s.endAccountPass()
 }
 
 // collectWorkers collects the workers that accept new tasks in this pass, by pool and number, and
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,15 +6,34 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// placeStep claims workers for the waiting tasks of a step. A step that finds too little capacity
-// reserves it if it is a gang, so that capacity that becomes free does not go to other steps, and
-// asks the advisor about more workers if its queue has one.
+// placeStep claims workers for as many of the waiting tasks of a step as the limit of its account
+// allows.
 func (s *Scheduler) placeStep(r *readyStep) {
 	if s.now < r.retryAt {
+		s.holdLimit(r)
 		s.needsPass = true
 		return
 	}
 	r.pool = s.poolOf(r.job)
+	waiting, allowed, placed := r.waiting, s.startsWithinLimit(r), 0
+	if allowed > 0 {
+		r.waiting = waiting[:allowed]
+		placed = s.placeTasks(r)
+		r.waiting = waiting[placed:]
+	}
+	if len(r.waiting) == 0 {
+		return
+	}
+	if placed == allowed {
+		s.blockByLimit(r)
+	}
+	s.holdLimit(r)
+}
+
+// placeTasks claims workers for the waiting tasks of a step and returns the number of claims. A step
+// that finds too little capacity reserves it if it is a gang, so that capacity that becomes free does
+// not go to other steps, and asks the advisor about more workers if its queue has one.
+func (s *Scheduler) placeTasks(r *readyStep) int {
 	eligible := s.eligibleWorkers(r)
 	var placed []*worker
 	if limit := s.startLimit(r); limit > 0 {
@@ -36,13 +55,14 @@
 	if len(r.waiting) == 0 {
 		s.staleJobs[r.ref.Job] = true
 		s.dropQueuedCalls(r.ref)
-		return
+		return len(placed)
 	}
 	s.reserve(r, eligible)
 	if r.job.Queue.Advisor != nil && s.expectsCapacity(r) {
 		s.requestAdvice(r)
 	}
 	s.delayRetry(r, len(eligible) > 0)
+	return len(placed)
 }
 
 // expectsCapacity reports whether idle processors remain after the earlier steps of the pass, and
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -28,6 +28,9 @@
 	// often that happened since something changed for the step.
 	retryAt  time.Duration
 	failures int
+	account  *accountUsage // of its job, nil if it has none
+	// blockedSince is when the limit of the account first blocked the step, 0 if it does not.
+	blockedSince time.Duration
 }
 
 // readySteps returns the ready steps in the order in which they are placed, the most urgent first.
@@ -80,7 +83,7 @@
 	for _, r := range steps {
 		for _, old := range previous {
 			if old.ref == r.ref {
-				r.retryAt, r.failures = old.retryAt, old.failures
+				r.retryAt, r.failures, r.blockedSince = old.retryAt, old.failures, old.blockedSince
 			}
 		}
 	}
@@ -122,7 +125,7 @@
 				continue
 			}
 		}
-		r := &readyStep{job: j, step: step, state: ss, ref: job.StepRef{Job: j.ID, Occurrence: occurrence, Step: uint16(i)}}
+		r := &readyStep{job: j, account: s.accountNamed(j.Account), step: step, state: ss, ref: job.StepRef{Job: j.ID, Occurrence: occurrence, Step: uint16(i)}}
 		r.waiting = s.waitingTasks(r)
 		if len(r.waiting) == 0 || step.Gang && len(r.waiting) < step.Count {
 			continue
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -68,6 +68,10 @@
 	// still take in the current pass, in thousandths of a core.
 	cpuBeyondHeadroom map[string]int64
 	allocatedCPU      map[poolPriority]int64 // processors of all claims, in thousandths of a core
+	// accounts holds the usage of the accounts by name, with the limits and weights of the
+	// configuration with the version accountsVersion.
+	accounts        map[string]*accountUsage
+	accountsVersion int64
 	// topPriority is the priority of the most urgent queue of each pool, computed from the
 	// configuration with the version topPriorityVersion; nil if it has to be recomputed.
 	topPriority        map[string]int
@@ -96,6 +100,7 @@
 	s.claims, s.claimsByJob, s.proposedClaims = map[claimKey]*claim{}, map[job.ID]map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
+	s.accounts, s.accountsVersion = map[string]*accountUsage{}, state.Config().Version
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations = map[job.StepRef]*reservation{}
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -384,6 +384,7 @@
 	if !w.info.Capacity.Fits(used) {
 		c.reportViolation("%v: %v is over the capacity of %s", key.task, used, w.info.Name)
 	}
+	c.checkLimit(key, j, step)
 	for _, other := range c.workers {
 		for k := range other.runs {
 			if other.isUp && k.task == key.task {
--- a/placement/share.go
+++ b/placement/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/fairshare"
 )
 
 // The classes in descending order of priority.
@@ -135,7 +136,7 @@
 	if !t.active {
 		total += t.weight
 	}
-	return t.weight / total
+	return fairshare.Entitlement(t.weight, total)
 }
 
 // dominantShare returns the fraction of the pool that t uses in its dominant dimension.
@@ -144,12 +145,7 @@
 // exceedsQuota returns the first dimension in which t would exceed its quota if its usage
 // grew by more, or -1.
 func (t *team) exceedsQuota(more vector) int {
-	for d, bound := range t.quota {
-		if bound >= 0 && more[d] > 0 && t.used[d]+more[d] > bound {
-			return d
-		}
-	}
-	return -1
+	return fairshare.FirstExceeded(t.used[:], more[:], t.quota[:], 1)
 }
 
 // unblockForQuota unblocks the subqueues of t after a release if t has a quota, since they
@@ -182,7 +178,7 @@
 			total += classWeights[i]
 		}
 	}
-	return q.team.fairShare() * classWeights[q.index] / total
+	return q.team.fairShare() * fairshare.Entitlement(classWeights[q.index], total)
 }
 
 // nextReady returns the earliest-queued entry among the ready heads of the subqueues, or
--- a/placement/vector.go
+++ b/placement/vector.go
@@ -1,9 +1,8 @@
 package placement
 
 import (
-	"math"
-
 	"github.com/oleanderchute/oleanderchute/api"
+	"github.com/oleanderchute/oleanderchute/fairshare"
 )
 
 // The resource dimensions.
@@ -97,17 +96,7 @@
 // dominantShare returns the largest fraction of total that v takes in any dimension. It is
 // infinite if v needs a dimension of which total has nothing.
 func (v *vector) dominantShare(total *vector) float64 {
-	share := 0.0
-	for d := range v {
-		if v[d] <= 0 {
-			continue
-		}
-		if total[d] <= 0 {
-			return math.Inf(1)
-		}
-		share = max(share, float64(v[d])/float64(total[d]))
-	}
-	return share
+	return fairshare.DominantShare(v[:], total[:])
 }
 
 // exceededDimension returns the first dimension in which v exceeds available, or -1.
