--- a/cell/serve.go
+++ b/cell/serve.go
@@ -113,6 +113,10 @@
 		h.submitting[id] = append(waiters, s)
 		return
 	}
+	if reply, exceeds := h.checkLimit(c); exceeds {
+		done(reply)
+		return
+	}
 	h.submitting[id] = []submission{s}
 	h.propose(func(committed bool) { h.submitApplied(id, committed) },
 		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
