cell: hold calls while no leader is known, and ask for one

An entry VM sent each waiting call to the known VMs in turn. An attempt at a keeper that did not reply left the outcome of the call unclear, so calls that nobody had accepted were answered 504, which clients do not repeat.

Calls are now sent only to a VM that has said that it leads, and held until one does. One probe at a time asks for the leader.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -255,7 +255,7 @@
 	for i := range 5 {
 		tc.c.Assert(submit(entry, job.ID(i+1), 3).Code, qt.Equals, OK)
 	}
-	leader := entry.finder.next()
+	leader, _ := entry.router.leaderAndKeepers()
 	dir := tc.nodes[leader].dir
 	tc.stop(leader)
 	for i := range 5 {
@@ -424,7 +424,7 @@
 	leader := tc.leader()
 	tc.stop(leader)
 	n := tc.start(leader, tc.c.TempDir(), false)
-	n.finder.update(leader, nil)
+	n.router.probeReplied(leader, true, JoinReply{Leader: leader})
 	tc.awaitFullTolerance("the loss of the leader's disk")
 }
 
--- a/cell/forward.go
+++ b/cell/forward.go
@@ -2,18 +2,32 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/oleanderchute/oleanderchute/transport"
 )
 
-// retryInterval is the delay before a call without a definite reply is sent again, possibly to
-// another VM. An election takes about a second.
+// retryInterval is the least time between the starts of two attempts of a call, except for the
+// first repetition.
 const retryInterval = 40 * time.Millisecond
 
-// Forward sends a call to the leader and returns its reply. Calls are idempotent, so a call
-// without a definite reply is retried, possibly at another VM, until ctx ends. The code is
-// then Unavailable if no attempt can have been executed, and Unknown if one may have been.
+// changesState reports whether a call of this kind may have an effect, so that its outcome is
+// unclear if an attempt got no reply.
+func (k Kind) changesState() bool {
+	switch k {
+	case QueryJob, CountPending, GetConfig:
+		return false
+	}
+	return true
+}
+
+// Forward sends a call to the leader and returns its reply. While no leader is known, the call is
+// held. Calls are idempotent, so a call without a definite reply is repeated, possibly at another
+// VM, until ctx ends or too little time is left. The code is then Unavailable if no attempt can
+// have been executed, and Unknown if one may have been.
 func (n *Node) Forward(ctx context.Context, c Call) Reply {
 	began := time.Now()
 	reply := n.forward(ctx, c)
@@ -22,50 +36,152 @@
 }
 
 func (n *Node) forward(ctx context.Context, c Call) Reply {
-	uncertain := false
-	for {
-		reply, mayHaveRun := n.forwardOnce(ctx, c)
-		uncertain = uncertain || mayHaveRun
-		switch reply.Code {
-		case NotLeader, Interrupted:
-		default:
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(callTimeout)
+	}
+	isUnclear := false
+	for attempt := 0; ; attempt++ {
+		permit, rejection := n.router.acquire(ctx, c, deadline, isUnclear)
+		if rejection != "" {
+			return n.reject(c, deadline, isUnclear, rejection)
+		}
+		began := time.Now()
+		reply, mayHaveRun := n.attempt(ctx, c, permit.leader)
+		n.router.release(permit)
+		if mayHaveRun && c.Kind.changesState() && !isUnclear {
+			isUnclear = true
+			n.metrics.callsUnclear.WithLabelValues(c.Kind.String()).Inc()
+		}
+		if reply.Code != NotLeader && reply.Code != Interrupted {
 			return reply
 		}
-		timer := time.NewTimer(retryInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			if uncertain {
-				return Reply{Code: Unknown}
-			}
-			return Reply{Code: Unavailable}
-		case <-timer.C:
+		if attempt > 0 {
+			sleep(ctx, retryInterval-time.Since(began))
 		}
 	}
 }
 
-// forwardOnce sends the call to one VM. mayHaveRun reports whether the call may have been
-// executed although the reply does not say so.
-func (n *Node) forwardOnce(ctx context.Context, c Call) (reply Reply, mayHaveRun bool) {
+// reject returns the reply to a call for which no leader was found.
+func (n *Node) reject(c Call, deadline time.Time, isUnclear bool, reason string) Reply {
+	n.metrics.callsRejected.WithLabelValues(c.Kind.String(), reason).Inc()
+	if isUnclear {
+		return Reply{Code: Unknown}
+	}
+	hash := fnv.New64a()
+	hash.Write([]byte(c.Path))
+	return Reply{Code: Unavailable, RetryAfterMillis: n.router.retryAfter(deadline, hash.Sum64()).Milliseconds()}
+}
+
+// attempt sends a call to the leader. mayHaveRun reports whether the call may have been executed
+// although the reply does not say so.
+func (n *Node) attempt(ctx context.Context, c Call, leader string) (reply Reply, mayHaveRun bool) {
 	timeout := attemptTimeout
 	if c.Kind == SignOff {
 		timeout = callTimeout // the leader stops the worker's runs before it replies
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	target := n.finder.next()
-	if target == n.settings.Address {
-		reply = n.callLocal(ctx, c)
-	} else if err := n.peers.call(ctx, target, "Call", c, &reply); err != nil {
-		n.finder.forgetLeader(target)
+	sentAt := time.Now()
+	var err error
+	if leader == n.settings.Address {
+		if reply = n.callLocal(ctx, c); reply.Code == Interrupted {
+			err = ctx.Err()
+		}
+	} else {
+		err = n.peers.call(ctx, leader, "Call", c, &reply)
+	}
+	if err != nil {
+		n.router.attemptFailed(leader, sentAt, err)
 		return Reply{Code: Interrupted}, transport.MayHaveRun(err)
 	}
-	switch reply.Code {
-	case NotLeader:
-		n.finder.update(reply.Leader, nil)
-	case Interrupted:
-		n.finder.forgetLeader(target)
-		return reply, true
+	n.router.attemptReplied(leader, reply)
+	return reply, reply.Code == Interrupted
+}
+
+// sendJoin sends Join to a VM, which may be this one. It changes no job and no configuration.
+func (n *Node) sendJoin(ctx context.Context, address string) (JoinReply, error) {
+	args := JoinArgs{Address: n.settings.Address}
+	if n.settings.isKeeper() {
+		if err := n.eventLoop.Call(ctx, func() { args.Keeper = n.host.selfMember() }); err != nil {
+			return JoinReply{}, err
+		}
 	}
-	return reply, false
+	var reply JoinReply
+	var err error
+	if address == n.settings.Address && n.settings.isKeeper() {
+		err = n.eventLoop.Call(ctx, func() { reply = n.host.join(n.eventLoop.Now(), args) })
+	} else {
+		err = n.peers.call(ctx, address, "Join", args, &reply)
+	}
+	return reply, err
+}
+
+// probe asks a VM whether it is the leader, and registers this VM with it. It returns when the VM
+// has replied or cannot be reached, and after timeout at the latest; a later reply is used too.
+func (n *Node) probe(ctx context.Context, address string, timeout time.Duration) {
+	sentAt, done := time.Now(), make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		reply, err := n.sendJoin(ctx, address)
+		if err == nil {
+			n.router.probeReplied(address, address == n.settings.Address, reply)
+		}
+		done <- err
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		if err != nil && ctx.Err() == nil {
+			n.router.probeFailed(address, sentAt, err)
+		}
+	case <-timer.C:
+		n.router.probeFailed(address, sentAt, context.DeadlineExceeded)
+	}
+}
+
+// findLeaderPeriodically asks the leader every joinInterval whether it still is, which registers
+// this VM there. While calls are held it asks the known VMs in turn, one at a time.
+func (n *Node) findLeaderPeriodically(ctx context.Context) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.router.probeWanted:
+			if _, isWanted := n.router.afterProbe(); !isWanted {
+				continue
+			}
+		case <-ticker.C:
+		}
+		for isWanted := true; isWanted && ctx.Err() == nil; {
+			address, timeout := n.router.nextProbe()
+			n.probe(ctx, address, timeout)
+			var pause time.Duration
+			if pause, isWanted = n.router.afterProbe(); isWanted {
+				sleep(ctx, pause)
+			}
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// isTimeout reports whether a call ended because no reply arrived in time.
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
--- a/cell/leaderfinder.go
+++ b/cell/leaderfinder.go
@@ -2,77 +2,196 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 )
 
-// leaderFinder chooses the VM to which calls for the leader are sent: the VM last reported
-// as the leader or, if there is none, the known keepers and the seeds in turn. It is safe
-// for concurrent use.
+const (
+	// probeTimeout is how long the finder waits for the reply to a probe before it asks another VM.
+	probeTimeout = 400 * time.Millisecond
+	// doubtedProbeTimeout replaces probeTimeout for a VM that left the last message unanswered; it
+	// doubles with each further one. A round trip to the other region takes 24 ms.
+	doubtedProbeTimeout = 100 * time.Millisecond
+	// probeInterval is the pause between probes after a VM has replied that it knows of no leader, and
+	// after each VM was asked once. It bounds the load on keepers during an election.
+	probeInterval = 25 * time.Millisecond
+	// silenceBeforeDoubt is how long the leader may leave all calls unanswered before it is probed and
+	// further calls are held. A commit across both regions with slow disks takes about 100 ms. It
+	// limits the calls that are sent to a VM that has failed, whose outcome is then unclear.
+	silenceBeforeDoubt = 150 * time.Millisecond
+)
+
+// leaderFinder decides which VM is believed to be the leader and which VM is asked next. A VM is
+// believed to be the leader if it has said so itself and no message to it has failed since; what
+// other VMs say only selects the next VM to ask, since they still name a leader that has just
+// failed. It has no input or output, and no clock: times are arguments. It is not safe for
+// concurrent use.
 type leaderFinder struct {
-	self string
-
-	mu          sync.Mutex
-	leader      string // as last reported; empty if unknown
-	keepers     []string
-	seeds       []string
-	nextIndex   int
-	lastReplyAt time.Time // when another VM last replied
+	leader    string // empty if unknown
+	isDoubted bool   // the leader has been silent and is asked before more calls are sent to it
+	named     string // the leader by the reply of another VM, to be asked next
+	keepers   []string
+	seeds     []string
+	nextIndex int
+	// failures is the number of consecutive messages without a reply, by address.
+	failures map[string]int
+	// probesSincePause counts the probes since the last pause.
+	probesSincePause int
+	pauseDue         bool
+
+	inFlight        int       // calls sent to the leader that have neither a reply nor failed
+	unansweredSince time.Time // since when none of them got a reply
+	leaderRepliedAt time.Time // when the leader last replied
+	lostAt          time.Time // since when no leader is known
+	lastReplyAt     time.Time // when another VM last replied
+}
+
+// newLeaderFinder returns a finder that knows of no leader. VMs with different values of first
+// ask the known VMs in the same order, but start with different ones.
+func newLeaderFinder(now time.Time, seeds []string, first uint64) *leaderFinder {
+	return &leaderFinder{seeds: seeds, failures: map[string]int{}, lostAt: now, nextIndex: int(first % uint64(max(len(seeds), 1)))}
+}
+
+// usableLeader returns the leader to which calls may be sent, or an empty string. A leader that
+// has left all calls unanswered for silenceBeforeDoubt is asked first.
+func (f *leaderFinder) usableLeader(now time.Time) string {
+	if f.leader != "" && f.inFlight > 0 && now.Sub(f.unansweredSince) > silenceBeforeDoubt {
+		f.isDoubted = true
+	}
+	if f.isDoubted {
+		return ""
+	}
+	return f.leader
+}
+
+// callSent records that a call was sent to the leader.
+func (f *leaderFinder) callSent(now time.Time) {
+	if f.inFlight == 0 {
+		f.unansweredSince = now
+	}
+	f.inFlight++
+}
+
+// callReturned records that a call to address has ended, with a reply or without one.
+func (f *leaderFinder) callReturned(address string) {
+	if address == f.leader && f.inFlight > 0 {
+		f.inFlight--
+	}
+}
+
+// replied records a reply of a VM which names the leader, or an empty string if it knows of none.
+// It is ignored unless it is from the believed leader, or no leader is known.
+func (f *leaderFinder) replied(now time.Time, address, leader string) {
+	f.failures[address] = 0
+	switch {
+	case leader == address:
+		f.named, f.isDoubted = "", false
+		f.unansweredSince, f.leaderRepliedAt = now, now
+		if f.leader != address {
+			f.leader, f.inFlight = address, 0
+		}
+	case f.leader == address:
+		f.lose(now)
+		f.named = leader
+	case f.leader == "" || f.isDoubted:
+		f.named, f.pauseDue = leader, leader == ""
+	}
 }
 
-func newLeaderFinder(self string, seeds []string) *leaderFinder {
-	return &leaderFinder{self: self, seeds: seeds}
+// recordReply records that another VM replied to a Join, and the keepers that it named. An empty
+// list leaves the known ones unchanged.
+func (f *leaderFinder) recordReply(now time.Time, keepers []string) {
+	f.lastReplyAt = now
+	if len(keepers) == 0 {
+		return
+	}
+	f.keepers = keepers
+	known := f.addresses()
+	for address := range f.failures {
+		if !slices.Contains(known, address) {
+			delete(f.failures, address)
+		}
+	}
 }
 
-func (f *leaderFinder) setSeeds(seeds []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.seeds = seeds
+// leaderReplied records that the leader has served a call, so it is the leader.
+func (f *leaderFinder) leaderReplied(now time.Time, address string) {
+	if f.leader == address {
+		f.replied(now, address, address)
+	}
 }
 
-// next returns the address to call: the presumed leader, or else each known VM in turn.
-func (f *leaderFinder) next() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.leader != "" {
-		return f.leader
+// timedOut records that a message sent to a VM at a time got no reply in time. The leader is
+// believed on if it has replied to a later message: the one without a reply is slow.
+func (f *leaderFinder) timedOut(now time.Time, address string, sentAt time.Time) {
+	if f.leader == address && f.leaderRepliedAt.After(sentAt) {
+		return
 	}
-	all := slices.Concat(f.keepers, f.seeds)
-	f.nextIndex++
-	return all[f.nextIndex%len(all)]
+	f.failed(now, address)
 }
 
-// forgetLeader clears the presumed leader if it is address, after a call to it failed.
-func (f *leaderFinder) forgetLeader(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// failed records that a VM cannot be reached or has lost the leadership.
+func (f *leaderFinder) failed(now time.Time, address string) {
+	f.failures[address]++
+	if f.named == address {
+		f.named = ""
+	}
 	if f.leader == address {
-		f.leader = ""
+		f.lose(now)
+	}
+}
+
+func (f *leaderFinder) lose(now time.Time) {
+	f.leader, f.isDoubted, f.named, f.inFlight, f.lostAt = "", false, "", 0, now
+	f.probesSincePause, f.pauseDue = 0, false
+}
+
+// nextProbe returns the VM to ask and how long to wait before another one is asked: the leader, a
+// VM that was named as the leader, or else each known VM in turn.
+func (f *leaderFinder) nextProbe() (address string, timeout time.Duration) {
+	f.probesSincePause++
+	switch {
+	case f.leader != "":
+		address = f.leader
+	case f.named != "":
+		address = f.named
+	default:
+		all := f.addresses()
+		f.nextIndex++
+		address = all[f.nextIndex%len(all)]
 	}
+	if f.isDoubted && address == f.leader {
+		return address, doubtedProbeTimeout
+	}
+	return address, f.timeoutFor(address)
 }
 
-// update records the leader and the keepers that a VM reported. An empty list of
-// keepers leaves the known ones unchanged.
-func (f *leaderFinder) update(leader string, keepers []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leader = leader
-	f.lastReplyAt = time.Now()
-	if len(keepers) > 0 {
-		f.keepers = keepers
+func (f *leaderFinder) timeoutFor(address string) time.Duration {
+	n := f.failures[address]
+	if n == 0 {
+		return probeTimeout
 	}
+	return min(doubtedProbeTimeout<<min(n-1, 4), probeTimeout)
 }
 
-// leaderAndKeepers returns the presumed leader, empty if unknown, and the known keepers.
-func (f *leaderFinder) leaderAndKeepers() (leader string, keepers []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.leader, f.keepers
+// pause returns how long to wait before the next probe.
+func (f *leaderFinder) pause() time.Duration {
+	if !f.pauseDue && f.probesSincePause < len(f.addresses()) {
+		return 0
+	}
+	f.probesSincePause, f.pauseDue = 0, false
+	return probeInterval
 }
 
-// repliedWithin reports whether another VM has replied within d.
-func (f *leaderFinder) repliedWithin(d time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Since(f.lastReplyAt) < d
+// isProbeUseful reports whether a VM has been named as the leader and was not asked yet.
+func (f *leaderFinder) isProbeUseful() bool { return f.leader == "" && f.named != "" }
+
+// addresses returns the known VMs that may lead.
+func (f *leaderFinder) addresses() []string {
+	all := slices.Clone(f.keepers)
+	for _, seed := range f.seeds {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	return all
 }
--- a/cell/members.go
+++ b/cell/members.go
@@ -27,15 +27,12 @@
 	return &job.Member{Address: s.Address, NodeID: string(h.group.Node.ID()), FailureDomain: s.FailureDomain, Region: s.Region, PublicAddress: s.PublicAddress}
 }
 
-// joinSelf handles the join of this VM itself, without a call over the network.
-func (h *replicaHost) joinSelf(args JoinArgs) JoinReply {
-	return h.join(h.node.eventLoop.Now(), args)
-}
-
 // join records that a VM is alive, registers it if it is a new or changed keeper, and
-// returns the leader and the keepers. Only the active leader records anything.
+// returns the leader and the keepers. Only the active leader records anything. A leader that may
+// not act as one yet, or whose lease has ended, does not name itself.
 func (h *replicaHost) join(now time.Duration, args JoinArgs) JoinReply {
-	if h.isActiveLeader(now) {
+	isActive := h.isActiveLeader(now)
+	if isActive {
 		h.lastSeen[args.Address] = now
 		if m := args.Keeper; m != nil {
 			if old, ok := h.state.Member(m.Address); !ok || old != *m {
@@ -44,6 +41,9 @@
 		}
 	}
 	reply := JoinReply{Leader: replica.VMName(h.group.Node.Leader())}
+	if h.group.Node.Role() == raft.RoleLeader && !isActive {
+		reply.Leader = ""
+	}
 	h.state.Members(func(m job.Member) { reply.Keepers = append(reply.Keepers, m.Address) })
 	return reply
 }
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -31,6 +31,10 @@
 	commitSeconds prometheus.Histogram
 	eventWait     prometheus.Histogram
 	eventSeconds  *prometheus.CounterVec
+	heldCalls     prometheus.Gauge
+	heldSeconds   *prometheus.HistogramVec
+	callsRejected *prometheus.CounterVec
+	callsUnclear  *prometheus.CounterVec
 	// reducedToleranceSeconds is set on the leader only.
 	reducedToleranceSeconds prometheus.Gauge
 }
@@ -65,11 +69,19 @@
 			Help: "Time that an event waited for the event loop.", Buckets: latencyBuckets}),
 		eventSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_event_seconds_total",
 			Help: "Time that the event loop spent, by kind of event. apply and schedule are parts of saved and step."}, []string{"kind"}),
+		heldCalls: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_held_calls", Help: "Calls that wait on this VM for a leader."}),
+		heldSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_call_held_seconds",
+			Help: "Time that a call waited on this VM for a leader, by kind.", Buckets: latencyBuckets}, []string{"kind"}),
+		callsRejected: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_calls_rejected_total",
+			Help: "Calls that this VM answered without a leader, by kind and reason."}, []string{"kind", "reason"}),
+		callsUnclear: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "oleander_cell_calls_unclear_total",
+			Help: "Calls of which an attempt got no reply and may have been executed, by kind. They are repeated."}, []string{"kind"}),
 		reducedToleranceSeconds: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_reduced_tolerance_seconds",
 			Help: "How long the group has tolerated fewer losses than it should, on the leader; 0 if it tolerates its number."}),
 	}
 	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers,
 		m.queuedCalls, m.busyProxies, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
+		m.heldCalls, m.heldSeconds, m.callsRejected, m.callsUnclear,
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return m
 }
@@ -79,6 +91,10 @@
 	m.callSeconds.WithLabelValues(k.String()).Observe(took.Seconds())
 }
 
+func (m *metrics) recordHeld(k Kind, took time.Duration) {
+	m.heldSeconds.WithLabelValues(k.String()).Observe(took.Seconds())
+}
+
 func (m *metrics) setLoad(l dispatch.Load) {
 	m.openJobs.Set(float64(l.OpenJobs))
 	m.workers.Set(float64(l.Workers))
--- a/cell/node.go
+++ b/cell/node.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/oleanderchute/oleanderchute/job"
 	"github.com/oleanderchute/oleanderchute/raft"
 	"github.com/oleanderchute/oleanderchute/replica"
 	"github.com/oleanderchute/oleanderchute/storage"
@@ -36,7 +35,7 @@
 	eventLoop *replica.EventLoop
 	loopLoad  *loopLoad // owned by the event loop goroutine
 	peers     *peerSet
-	finder    *leaderFinder
+	router    *callRouter
 	host      *replicaHost // nil on an entry VM; set before the event loop runs, then owned by the event loop goroutine
 }
 
@@ -49,15 +48,15 @@
 	n.loopLoad = newLoopLoad(n.metrics, log)
 	n.eventLoop.SetObserver(n.loopLoad.observe)
 	n.peers = newPeerSet(n)
-	n.finder = newLeaderFinder(settings.Address, settings.Seeds)
+	n.router = newCallRouter(settings, n.metrics, log)
 	return n, nil
 }
 
 // SetSeeds replaces the seeds after a change of the settings.
-func (n *Node) SetSeeds(seeds []string) { n.finder.setSeeds(seeds) }
+func (n *Node) SetSeeds(seeds []string) { n.router.setSeeds(seeds) }
 
 // Ready reports whether calls that arrive at this VM can be forwarded to the leader.
-func (n *Node) Ready() bool { return n.finder.repliedWithin(readyTimeout) }
+func (n *Node) Ready() bool { return n.router.repliedWithin(readyTimeout) }
 
 // Run serves until ctx ends. listener accepts the connections of the other VMs.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
@@ -69,7 +68,7 @@
 	}
 	g.Go(func() error { n.eventLoop.Run(ctx, n.step); return nil })
 	g.Go(func() error { return n.peers.serve(ctx, listener) })
-	g.Go(func() error { n.joinPeriodically(ctx); return nil })
+	g.Go(func() error { n.findLeaderPeriodically(ctx); return nil })
 	err := g.Wait()
 	n.peers.close()
 	if n.host != nil {
@@ -167,40 +166,6 @@
 	}
 }
 
-// joinPeriodically sends Join every joinInterval, which registers this VM with the leader
-// and returns the leader and the keepers.
-func (n *Node) joinPeriodically(ctx context.Context) {
-	replica.Every(ctx, joinInterval, func() { n.join(ctx) })
-}
-
-func (n *Node) join(ctx context.Context) {
-	args := JoinArgs{Address: n.settings.Address}
-	if n.settings.isKeeper() {
-		var member *job.Member
-		if err := n.eventLoop.Call(ctx, func() { member = n.host.selfMember() }); err != nil {
-			return
-		}
-		args.Keeper = member
-	}
-	target := n.finder.next()
-	if target == n.settings.Address {
-		n.eventLoop.Post(func() {
-			if reply := n.host.joinSelf(args); reply.Leader != target {
-				n.finder.forgetLeader(target) // another VM has named this one, which no longer leads
-			}
-		})
-		return
-	}
-	var reply JoinReply
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := n.peers.call(ctx, target, "Join", args, &reply); err != nil {
-		n.finder.forgetLeader(target)
-		return
-	}
-	n.finder.update(reply.Leader, reply.Keepers)
-}
-
 // callLocal serves a call on this VM's event loop and waits for the reply.
 func (n *Node) callLocal(ctx context.Context, c Call) Reply {
 	if !n.settings.isKeeper() {
@@ -234,7 +199,7 @@
 // Join registers another VM and returns the leader and the keepers.
 func (s *service) Join(args JoinArgs, reply *JoinReply) error {
 	if !s.node.settings.isKeeper() {
-		leader, keepers := s.node.finder.leaderAndKeepers()
+		leader, keepers := s.node.router.leaderAndKeepers()
 		*reply = JoinReply{leader, keepers}
 		return nil
 	}
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -57,7 +57,7 @@
 	if l := p.links[address]; l != nil || p.closed {
 		return l
 	}
-	l := &peerLink{peer: transport.NewPeer(address, transport.PeerOptions{CallTimeout: callTimeout})}
+	l := &peerLink{peer: transport.NewPeer(address, transport.PeerOptions{CallTimeout: callTimeout, DialTimeout: dialTimeout, MaxBackoff: maxDialBackoff})}
 	p.links[address] = l
 	return l
 }
--- a/cell/settings.go
+++ b/cell/settings.go
@@ -60,6 +60,10 @@
 	// callTimeout bounds one call between VMs. A commit across both regions with slow disks
 	// takes about 100 ms.
 	callTimeout = 900 * time.Millisecond
+	// dialTimeout and maxDialBackoff bound how long a VM that has returned is not reached because an
+	// earlier attempt to connect has not ended: together less than the 0.7 s in which keepers restart.
+	dialTimeout    = 500 * time.Millisecond
+	maxDialBackoff = 200 * time.Millisecond
 	// joinInterval is how often a VM sends Join to the leader.
 	joinInterval = 500 * time.Millisecond
 	// memberSilenceTimeout is how long a VM may be silent before it no longer calls the advisor
