--- a/cell/account_fault_test.go
+++ b/cell/account_fault_test.go
@@ -105,11 +105,12 @@
 	tc := newTestCell(t, 3)
 	entry := tc.start(freeAddress(tc.c), "", false)
 	p := tc.partitionable(entry)
+	keeper := tc.nodes[tc.seeds[0]].node
 	put := func(version int64, keys ...string) {
 		tc.c.Helper()
 		tc.eventually("configuration acknowledged", func() bool {
 			config := accountConfig(version, map[string][]string{"ada": keys})
-			return forwardCall(tc.nodes[tc.leader()].node, Call{Kind: PutConfig, Config: config}).Code == OK
+			return forwardCall(keeper, Call{Kind: PutConfig, Config: config}).Code == OK
 		})
 	}
 	put(1, "old")
@@ -231,23 +232,23 @@
 func TestKeyWithdrawnAfterALostReply(t *testing.T) {
 	tc := newTestCell(t, 3)
 	entry := tc.start(freeAddress(tc.c), "", false)
-	leader := tc.nodes[tc.leader()].node
+	keeper := tc.nodes[tc.seeds[0]].node
 	p := tc.partitionable(entry)
 	put := func(version int64, key string) {
 		tc.c.Helper()
 		config := accountConfig(version, map[string][]string{"ada": {key}})
-		tc.c.Assert(forwardCall(leader, Call{Kind: PutConfig, Config: config}).Code, qt.Equals, OK)
+		tc.c.Assert(forwardCall(keeper, Call{Kind: PutConfig, Config: config}).Code, qt.Equals, OK)
 	}
 	put(1, "old")
 	tc.c.Assert(forwardCall(entry, submitCall("/d/"+job.ID(1).String()).withKey("old")).Code, qt.Equals, OK)
 	p.set(false, true)
 	code := make(chan Code, 1)
 	go func() { code <- forwardCall(entry, submitCall("/d/"+job.ID(2).String()).withKey("old")).Code }()
-	tc.eventually("job stored", func() bool { return forwardCall(leader, stateCall(2).withKey("old")).Code == OK })
+	tc.eventually("job stored", func() bool { return forwardCall(keeper, stateCall(2).withKey("old")).Code == OK })
 	put(2, "new")
 	p.heal()
 	tc.c.Check(<-code, qt.Equals, Unknown)
-	tc.c.Check(forwardCall(leader, stateCall(2).withKey("new")).Code, qt.Equals, OK)
+	tc.c.Check(forwardCall(keeper, stateCall(2).withKey("new")).Code, qt.Equals, OK)
 }
 
 // Guards against the same for other kinds and codes: only a refusal that did not look for the job is
