--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -15,22 +15,23 @@
 
 // metrics holds the Prometheus metrics of one VM.
 type metrics struct {
-	registry      *prometheus.Registry
-	calls         *prometheus.CounterVec
-	callSeconds   *prometheus.HistogramVec
-	orders        *prometheus.CounterVec
-	orderSeconds  *prometheus.HistogramVec
-	decisions     *prometheus.CounterVec
-	leader        prometheus.Gauge
-	openJobs      prometheus.Gauge
-	workers       prometheus.Gauge
-	queuedCalls   prometheus.Gauge
-	busyProxies   prometheus.Gauge
-	adviceSeconds *prometheus.HistogramVec
-	diskFull      prometheus.Gauge
-	commitSeconds prometheus.Histogram
-	eventWait     prometheus.Histogram
-	eventSeconds  *prometheus.CounterVec
+	registry                                                           *prometheus.Registry
+	calls                                                              *prometheus.CounterVec
+	callSeconds                                                        *prometheus.HistogramVec
+	orders                                                             *prometheus.CounterVec
+	orderSeconds                                                       *prometheus.HistogramVec
+	decisions                                                          *prometheus.CounterVec
+	leader                                                             prometheus.Gauge
+	openJobs                                                           prometheus.Gauge
+	workers                                                            prometheus.Gauge
+	queuedCalls                                                        prometheus.Gauge
+	busyProxies                                                        prometheus.Gauge
+	accountShare, accountEntitlement, accountLimitUsed, accountBlocked *prometheus.GaugeVec
+	adviceSeconds                                                      *prometheus.HistogramVec
+	diskFull                                                           prometheus.Gauge
+	commitSeconds                                                      prometheus.Histogram
+	eventWait                                                          prometheus.Histogram
+	eventSeconds                                                       *prometheus.CounterVec
 	// reducedToleranceSeconds is set on the leader only.
 	reducedToleranceSeconds prometheus.Gauge
 }
@@ -55,6 +56,14 @@
 			Help: "Calls to the advisor that wait for a member to send them, on the leader."}),
 		busyProxies: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_advisor_calls_in_flight",
 			Help: "Calls to the advisor that wait for its answer, on the leader."}),
+		accountShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_account_share",
+			Help: "Fraction of a pool that the runs of an account take in their dominant dimension, on the leader."}, []string{"account"}),
+		accountEntitlement: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_account_entitlement",
+			Help: "Fraction of the pool to which an account is entitled by its weight, on the leader."}, []string{"account"}),
+		accountLimitUsed: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_account_limit_used",
+			Help: "Fraction of its limit that the runs of an account take, on the leader; 0 without a limit."}, []string{"account"}),
+		accountBlocked: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_account_blocked_steps",
+			Help: "Steps that the limit of their account keeps waiting, on the leader."}, []string{"account"}),
 		adviceSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_advice_seconds",
 			Help: "Time that a call to the advisor waited for a member, and then for its answer.", Buckets: latencyBuckets}, []string{"phase"}),
 		diskFull: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_disk_full",
@@ -69,7 +78,7 @@
 			Help: "How long the group has tolerated fewer losses than it should, on the leader; 0 if it tolerates its number."}),
 	}
 	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers,
-		m.queuedCalls, m.busyProxies, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
+		m.queuedCalls, m.busyProxies, m.accountShare, m.accountEntitlement, m.accountLimitUsed, m.accountBlocked, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return m
 }
@@ -84,6 +93,15 @@
 	m.workers.Set(float64(l.Workers))
 	m.queuedCalls.Set(float64(l.QueuedCalls))
 	m.busyProxies.Set(float64(l.BusyProxies))
+	for _, gauge := range []*prometheus.GaugeVec{m.accountShare, m.accountEntitlement, m.accountLimitUsed, m.accountBlocked} {
+		gauge.Reset() // accounts that the configuration no longer contains
+	}
+	for _, a := range l.Accounts {
+		m.accountShare.WithLabelValues(a.Name).Set(a.Share)
+		m.accountEntitlement.WithLabelValues(a.Name).Set(a.Entitlement)
+		m.accountLimitUsed.WithLabelValues(a.Name).Set(a.LimitUsed)
+		m.accountBlocked.WithLabelValues(a.Name).Set(float64(a.BlockedSteps))
+	}
 }
 
 func (m *metrics) setDiskFull(isFull bool) {
--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -2,16 +2,18 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/fairshare"
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// limitHoldDelay is how long the limit of an account may block a gang before later steps of the
-// account leave it the room that becomes free below the limit. Without this a stream of small tasks
-// keeps a gang waiting for ever. Most runs last for seconds, and a shorter delay would leave the
-// account below its limit for gangs that start soon anyway.
+// limitHoldDelay is how long the limit of an account may block a gang, or half of the time in which
+// the gang has to start to be in time if that is shorter, before later steps of the account leave it
+// the room that becomes free below the limit. Without this a stream of small tasks keeps a gang
+// waiting for ever. Without the delay the account would be below its limit for gangs that start soon
+// anyway, since most runs last for seconds.
 const limitHoldDelay = time.Second
 
 // dimensions are the resources in the order of amounts.
@@ -40,34 +42,47 @@
 	name  string
 	used  amounts // by all claims of its jobs
 	limit amounts // fairshare.NoLimit in a dimension without one
-	// held is kept below the limit in the current pass for gangs that the limit has blocked for
-	// limitHoldDelay.
+	// held is kept below the limit in the current pass for gangs that the limit has blocked for long.
 	held amounts
+	// weight is the account's part of a full pool, relative to the other accounts. usage is what its
+	// runs take in each pool.
+	weight float64
+	usage  map[string]*poolUsage
+	rate   jobRate
 	// blockedInPass counts the steps that the limit has blocked in the current pass, blockedSteps
 	// those of the newest complete pass.
 	blockedInPass, blockedSteps int
 	isBlocking                  bool // the decision that the limit is reached was recorded
 }
 
-// accountNamed returns the usage of an account, creating it if it is absent. It returns nil for the
-// empty name, which jobs without an account have.
+// accountNamed returns the usage of an account, creating it if it is absent. All jobs without an
+// account count as one account with the empty name.
 func (s *Scheduler) accountNamed(name string) *accountUsage {
-	if name == "" {
-		return nil
-	}
 	a := s.accounts[name]
 	if a == nil {
-		a = &accountUsage{name: name}
-		a.configure(s.state.Account(name))
+		a = &accountUsage{name: name, usage: map[string]*poolUsage{}}
+		s.configureAccount(a)
 		s.accounts[name] = a
 	}
 	return a
 }
 
-// configure sets the limit from the configuration. An account that the configuration no longer
-// contains, for which info is nil, has none.
-func (a *accountUsage) configure(info *job.Account) {
+// configureAccount sets the limit and the weight of an account from the configuration. One that the
+// configuration does not contain has no limit and the smallest weight of those that it contains.
+func (s *Scheduler) configureAccount(a *accountUsage) {
+	info := s.state.Account(a.name)
 	a.limit = limitOf(info)
+	if info != nil {
+		a.weight = info.Weight
+		return
+	}
+	a.weight = math.Inf(1)
+	for _, other := range s.state.Config().Accounts {
+		a.weight = min(a.weight, other.Weight)
+	}
+	if math.IsInf(a.weight, 1) {
+		a.weight = 1
+	}
 }
 
 // limitOf returns the limit of an account, or no limit if info is nil.
@@ -86,28 +101,28 @@
 
 // addUsage adds the allocation of a claim to the usage of its job's account.
 func (s *Scheduler) addUsage(c *claim) {
+	name := ""
 	if j := s.state.Job(c.key.task.Job); j != nil {
-		c.account = s.accountNamed(j.Account)
-	}
-	if c.account != nil {
-		c.account.used.add(amountsOf(c.allocation()))
+		name = j.Account
 	}
+	c.account = s.accountNamed(name)
+	c.account.used.add(amountsOf(c.allocation()))
+	c.account.usageIn(c.poolPriority.pool).used.add(amountsOf(c.allocation()))
 }
 
 // removeUsage subtracts the allocation of a claim from the usage to which it was added.
 func (s *Scheduler) removeUsage(c *claim) {
-	if c.account != nil {
-		c.account.used.subtract(amountsOf(c.allocation()))
-	}
+	c.account.used.subtract(amountsOf(c.allocation()))
+	c.account.usageIn(c.poolPriority.pool).used.subtract(amountsOf(c.allocation()))
 }
 
 // beginAccountPass prepares the accounts for a scheduling pass. It takes limits from the newest
 // configuration.
 func (s *Scheduler) beginAccountPass() {
 	version := s.state.Config().Version
-	for name, a := range s.accounts {
+	for _, a := range s.accounts {
 		if version != s.accountsVersion {
-			a.configure(s.state.Account(name))
+			s.configureAccount(a)
 		}
 		a.held, a.blockedInPass = amounts{}, 0
 	}
@@ -126,9 +141,6 @@
 // account: all or none of a gang.
 func (s *Scheduler) startsWithinLimit(r *readyStep) int {
 	a, n := r.account, int64(len(r.waiting))
-	if a == nil {
-		return len(r.waiting)
-	}
 	used, each := a.used, amountsOf(r.step.Allocation())
 	used.add(a.held)
 	fitting := fairshare.Fitting(used[:], each[:], a.limit[:], n)
@@ -165,10 +177,14 @@
 }
 
 // holdLimit keeps the room that a waiting gang needs below the limit of its account free of later
-// steps of the account, if the limit has blocked the gang for limitHoldDelay. It does nothing for a
+// steps of the account, if the limit has blocked the gang for long; see limitHoldDelay. It does nothing for a
 // gang that the limit does not allow at all, since it was lowered, or whose result is worth nothing.
 func (s *Scheduler) holdLimit(r *readyStep) {
-	if !r.step.Gang || r.blockedSince == 0 || s.now-r.blockedSince < limitHoldDelay || r.lateness == worthless {
+	if !r.step.Gang || r.blockedSince == 0 || r.lateness == worthless {
+		return
+	}
+	startWithin := r.deadlineMillis - r.releasedMillis - int64(estimateFactor*float64(r.remainingMillis))
+	if s.now-r.blockedSince < min(limitHoldDelay, time.Duration(max(startWithin, 0))*time.Millisecond/2) {
 		return
 	}
 	each, none, n := amountsOf(r.step.Allocation()), amounts{}, int64(len(r.waiting))
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -68,7 +68,7 @@
 	// leader made it.
 	latenessWhenPlaced lateness
 	poolPriority       poolPriority  // pool and priority under which its processors count in allocatedCPU
-	account            *accountUsage // under which its allocation counts, nil if its job has no account
+	account            *accountUsage // under which its allocation counts, nil if step is nil
 }
 
 // mustBeInReport reports whether a report that was requested at a time must list the run or its
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -28,7 +28,8 @@
 	// often that happened since something changed for the step.
 	retryAt  time.Duration
 	failures int
-	account  *accountUsage // of its job, nil if it has none
+	account  *accountUsage // of its job
+	usage    *poolUsage    // of the account in the pool
 	// blockedSince is when the limit of the account first blocked the step, 0 if it does not.
 	blockedSince time.Duration
 }
@@ -43,6 +44,7 @@
 	for _, r := range s.ordered {
 		r.lateness = r.latenessAt(s.wallMillis)
 	}
+	s.updateShares()
 	slices.SortFunc(s.ordered, func(a, b *readyStep) int {
 		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.compareInTime(b.urgency), cmp.Compare(a.ref.Job, b.ref.Job),
 			cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
@@ -126,6 +128,7 @@
 			}
 		}
 		r := &readyStep{job: j, account: s.accountNamed(j.Account), step: step, state: ss, ref: job.StepRef{Job: j.ID, Occurrence: occurrence, Step: uint16(i)}}
+		r.pool = s.poolOf(j)
 		r.waiting = s.waitingTasks(r)
 		if len(r.waiting) == 0 || step.Gang && len(r.waiting) < step.Count {
 			continue
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -72,6 +72,7 @@
 	// configuration with the version accountsVersion.
 	accounts        map[string]*accountUsage
 	accountsVersion int64
+	beyondRate      map[job.ID]bool // open jobs that were accepted beyond the rate of their account
 	// topPriority is the priority of the most urgent queue of each pool, computed from the
 	// configuration with the version topPriorityVersion; nil if it has to be recomputed.
 	topPriority        map[string]int
@@ -101,6 +102,7 @@
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
 	s.accounts, s.accountsVersion = map[string]*accountUsage{}, state.Config().Version
+	s.beyondRate = map[job.ID]bool{}
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations = map[job.StepRef]*reservation{}
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
@@ -141,6 +143,7 @@
 	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.maxLeaseElapsed()) })
 	s.state.OpenJobs(func(j *job.Job) { s.staleJobs[j.ID] = true })
 	s.state.Jobs(func(j *job.Job) { s.adoptClaims(j) })
+	s.replayRates()
 	s.needsPass = true
 }
 
@@ -182,7 +185,8 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load() Load {
-	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies()}
+	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies(),
+		Accounts: s.accountLoads()}
 }
 
 // Actions returns and clears the actions since the last call, with the proposal first.
@@ -245,6 +249,7 @@
 		s.propose(job.Op{DeleteJobs: ids})
 	}
 	maps.DeleteFunc(s.lastFailedOn, func(ref job.TaskRef, _ uint32) bool { return s.openJob(ref.Job) == nil })
+	maps.DeleteFunc(s.beyondRate, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 	maps.DeleteFunc(s.startedJobs, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 }
 
@@ -280,6 +285,9 @@
 	switch {
 	case op.Submit != nil:
 		s.staleJobs[op.Submit.ID] = true
+		if j := s.state.Job(op.Submit.ID); j != nil && j.AcceptedMillis == op.Submit.AcceptedMillis && s.state.Config().HasAccounts {
+			s.jobAccepted(j)
+		}
 	case op.Claim != nil:
 		s.claimApplied(op.Claim)
 	case op.End != nil:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -163,4 +163,20 @@
 	Workers     int // known worker incarnations
 	QueuedCalls int // calls to the advisor that wait for a proxy
 	BusyProxies int // calls to the advisor in flight
+	// Accounts are the accounts of the configuration in its order.
+	Accounts []AccountLoad
+}
+
+// AccountLoad is the load that one client account causes.
+type AccountLoad struct {
+	Name string
+	// Share is the dominant share of the account in the pool where it is largest: what its runs take,
+	// as a fraction of the capacity of the pool's workers. Entitlement is its part of that pool by
+	// weight, among the accounts with work there; 0 if it has none.
+	Share, Entitlement float64
+	// LimitUsed is what the runs take as a fraction of the limit, in the dimension in which it is
+	// largest; 0 without a limit.
+	LimitUsed float64
+	// BlockedSteps is the number of steps that the limit keeps waiting.
+	BlockedSteps int
 }
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -19,6 +19,9 @@
 	// occurrence was due to start, whichever is later; deadlineMillis is when it should be done.
 	releasedMillis, deadlineMillis int64
 	remainingMillis                int64 // estimated duration of the critical path from this step on
+	// overShare is set, in a configuration with accounts, if the account uses more of the pool than
+	// it is entitled to.
+	overShare bool
 }
 
 // lateness says whether a job can still meet its deadline.
@@ -52,7 +55,7 @@
 	return cmp.Or(cmp.Compare(u.latenessAt(wallMillis), other.latenessAt(wallMillis)), u.compareInTime(other))
 }
 
-// compareInTime orders steps of the same lateness by priority and deadline.
+// compareInTime orders steps of the same lateness by the account's share, priority and deadline.
 func (u urgency) compareInTime(other urgency) int {
-	return cmp.Or(cmp.Compare(u.priority, other.priority), cmp.Compare(u.deadlineMillis, other.deadlineMillis))
+	return cmp.Or(boolToInt(u.overShare)-boolToInt(other.overShare), cmp.Compare(u.priority, other.priority), cmp.Compare(u.deadlineMillis, other.deadlineMillis))
 }
