--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -9,10 +9,11 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// limitHoldDelay is how long the limit of an account may block a gang before later steps of the
-// account leave it the room that becomes free below the limit. Without this a stream of small tasks
-// keeps a gang waiting for ever. Most runs last for seconds, and a shorter delay would leave the
-// account below its limit for gangs that start soon anyway.
+// limitHoldDelay is how long the limit of an account may block a gang, or half of the time in which
+// the gang has to start to be in time if that is shorter, before later steps of the account leave it
+// the room that becomes free below the limit. Without this a stream of small tasks keeps a gang
+// waiting for ever. Without the delay the account would be below its limit for gangs that start soon
+// anyway, since most runs last for seconds.
 const limitHoldDelay = time.Second
 
 // dimensions are the resources in the order of amounts.
@@ -41,13 +42,13 @@
 	name  string
 	used  amounts // by all claims of its jobs
 	limit amounts // fairshare.NoLimit in a dimension without one
-	// held is kept below the limit in the current pass for gangs that the limit has blocked for
-	// limitHoldDelay.
+	// held is kept below the limit in the current pass for gangs that the limit has blocked for long.
 	held amounts
 	// weight is the account's part of a full pool, relative to the other accounts. usage is what its
 	// runs take in each pool.
 	weight float64
 	usage  map[string]*poolUsage
+	rate   jobRate
 	// blockedInPass counts the steps that the limit has blocked in the current pass, blockedSteps
 	// those of the newest complete pass.
 	blockedInPass, blockedSteps int
@@ -176,10 +177,14 @@
 }
 
 // holdLimit keeps the room that a waiting gang needs below the limit of its account free of later
-// steps of the account, if the limit has blocked the gang for limitHoldDelay. It does nothing for a
+// steps of the account, if the limit has blocked the gang for long; see limitHoldDelay. It does nothing for a
 // gang that the limit does not allow at all, since it was lowered, or whose result is worth nothing.
 func (s *Scheduler) holdLimit(r *readyStep) {
-	if !r.step.Gang || r.blockedSince == 0 || s.now-r.blockedSince < limitHoldDelay || r.lateness == worthless {
+	if !r.step.Gang || r.blockedSince == 0 || r.lateness == worthless {
+		return
+	}
+	startWithin := r.deadlineMillis - r.releasedMillis - int64(estimateFactor*float64(r.remainingMillis))
+	if s.now-r.blockedSince < min(limitHoldDelay, time.Duration(max(startWithin, 0))*time.Millisecond/2) {
 		return
 	}
 	each, none, n := amountsOf(r.step.Allocation()), amounts{}, int64(len(r.waiting))
