--- a/cell/forward.go
+++ b/cell/forward.go
@@ -89,7 +89,7 @@
 			err = ctx.Err()
 		}
 	} else {
-		err = n.peers.call(ctx, leader, "Call", c, &reply)
+		err = n.callPeer(ctx, leader, "Call", c, &reply)
 	}
 	if err != nil {
 		n.router.attemptFailed(leader, sentAt, err)
@@ -112,7 +112,7 @@
 	if address == n.settings.Address && n.settings.isKeeper() {
 		err = n.eventLoop.Call(ctx, func() { reply = n.host.join(n.eventLoop.Now(), args) })
 	} else {
-		err = n.peers.call(ctx, address, "Join", args, &reply)
+		err = n.callPeer(ctx, address, "Join", args, &reply)
 	}
 	return reply, err
 }
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -10,10 +10,10 @@
 	// 184 MB of memory, and the body of a call is up to 16 KB.
 	maxHeldCalls = 1000
 	maxHeldBytes = maxHeldCalls * 16 << 10
-	// minRemaining is the part of a call's time that is needed to find out that a VM is the leader,
-	// a round trip to the other region and the time to serve it. A call that has less left is
-	// answered at once.
-	minRemaining = 30 * time.Millisecond
+	// minRemaining is the time that a held call needs once a leader is found: a round trip to the other
+	// region (24 ms) and a commit (10 to 40 ms). With less, its outcome would probably be unclear when
+	// its time ends, so it is answered before.
+	minRemaining = 60 * time.Millisecond
 	// releaseWindow is the number of calls that a VM sends at once when it has found a leader. The
 	// next ones follow as these are answered, so that a burst does not delay the most urgent.
 	releaseWindow = 32
@@ -56,10 +56,10 @@
 // more of them than were in flight when the leader was lost. id names the call if it is held.
 func (h *heldCalls) arrive(now, deadline time.Time, bytes int, hasLeader, isUnclear bool) (id uint64, d holdDecision) {
 	switch {
+	case hasLeader && len(h.calls) == 0 && now.Before(deadline):
+		return 0, sendNow
 	case deadline.Sub(now) < minRemaining:
 		return 0, rejectDeadline
-	case hasLeader && len(h.calls) == 0:
-		return 0, sendNow
 	case !isUnclear && (len(h.calls) >= maxHeldCalls || h.bytes+bytes > maxHeldBytes):
 		return 0, rejectFull
 	}
--- a/cell/node.go
+++ b/cell/node.go
@@ -36,7 +36,9 @@
 	loopLoad  *loopLoad // owned by the event loop goroutine
 	peers     *peerSet
 	router    *callRouter
-	host      *replicaHost // nil on an entry VM; set before the event loop runs, then owned by the event loop goroutine
+	// callPeer calls a method of another VM. Tests replace it.
+	callPeer func(ctx context.Context, address, method string, args, reply any) error
+	host     *replicaHost // nil on an entry VM; set before the event loop runs, then owned by the event loop goroutine
 }
 
 // New returns a node, which Run starts. It returns an error if the settings are invalid.
@@ -48,6 +50,7 @@
 	n.loopLoad = newLoopLoad(n.metrics, log)
 	n.eventLoop.SetObserver(n.loopLoad.observe)
 	n.peers = newPeerSet(n)
+	n.callPeer = n.peers.call
 	n.router = newCallRouter(settings, n.metrics, log)
 	return n, nil
 }
