--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -124,7 +124,7 @@
 
 // logOnFailure returns a logger whose lines are shown if the test fails, without those about
 // single jobs and tasks.
-func logOnFailure(t *testing.T) *zap.Logger {
+func logOnFailure(t testing.TB) *zap.Logger {
 	var buffer zaptest.Buffer
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
@@ -142,7 +142,7 @@
 	return zap.New(core)
 }
 
-func newTestCell(t *testing.T, keepers int) *testCell {
+func newTestCell(t testing.TB, keepers int) *testCell {
 	c := qt.New(t)
 	tc := &testCell{c: c, workers: newFakeWorkers(), nodes: map[string]*testNode{}, faultTolerance: (keepers - 1) / 2}
 	tc.log = logOnFailure(t)
--- a/cell/forward.go
+++ b/cell/forward.go
@@ -108,12 +108,13 @@
 		}
 	}
 	var reply JoinReply
-	var err error
 	if address == n.settings.Address && n.settings.isKeeper() {
-		err = n.eventLoop.Call(ctx, func() { reply = n.host.join(n.eventLoop.Now(), args) })
-	} else {
-		err = n.callPeer(ctx, address, "Join", args, &reply)
+		if err := n.eventLoop.Call(ctx, func() { reply = n.host.join(n.eventLoop.Now(), args) }); err != nil {
+			return JoinReply{}, err // the event loop may still write to reply
+		}
+		return reply, nil
 	}
+	err := n.callPeer(ctx, address, "Join", args, &reply)
 	return reply, err
 }
 
--- a/cell/forward_test.go
+++ b/cell/forward_test.go
@@ -152,6 +152,12 @@
 	o.replies = append(o.replies, outageReply{path, sentAt, o.now(), r.Code, r.RetryAfterMillis})
 }
 
+func (o *outage) heldCalls() int {
+	o.node.router.mu.Lock()
+	defer o.node.router.mu.Unlock()
+	return len(o.node.router.waiting)
+}
+
 // submitPeriodically submits a job every 10 ms.
 func (o *outage) submitPeriodically(until int64) {
 	for ms := int64(0); ms < until; ms += 10 {
@@ -377,10 +383,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), modelBudget)
 		o.calls.Go(func() { o.forward(ctx, "/d/1") })
 		time.Sleep(100 * time.Millisecond)
-		o.c.Assert(o.node.router.waiting, qt.HasLen, 1)
+		o.c.Assert(o.heldCalls(), qt.Equals, 1)
 		cancel()
 		o.calls.Wait()
-		o.c.Assert(o.node.router.waiting, qt.HasLen, 0)
+		o.c.Assert(o.heldCalls(), qt.Equals, 0)
 		o.forward(ctx, "/d/2") // has gone before it arrives
 		for _, r := range o.replies {
 			o.c.Check(r.code, qt.Equals, Unavailable)
@@ -415,3 +421,38 @@
 		}
 	})
 }
+
+// Guards against heartbeats of workers and configurations that are lost because no leader is known when
+// they arrive. Operators and workers call another VM after a second.
+func TestHeartbeatsAndConfigurationsAreHeldDuringAnElection(t *testing.T) {
+	runOutage(t, func(ms int64, _ string) keeperModel {
+		if ms < 700 {
+			return keeperModel{isDown: true}
+		}
+		return keeperModel{names: "k2"}
+	}, func(o *outage) {
+		for _, kind := range []Kind{Announce, PutConfig, GetConfig, SignOff, QueryJob, CancelJob} {
+			o.calls.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+				defer cancel()
+				o.c.Check(o.node.Forward(ctx, Call{Kind: kind, Path: kind.String()}).Code, qt.Equals, OK, qt.Commentf("%v", kind))
+			})
+		}
+		o.calls.Wait()
+	})
+}
+
+// Guards against a call that is held because of an error that the leader itself returned, for example for a
+// message that it cannot decode, and that lets the calls of all others wait for a probe.
+func TestErrorOfTheLeaderDoesNotLoseTheLeader(t *testing.T) {
+	runOutage(t, func(int64, string) keeperModel { return keeperModel{names: "k1"} }, func(o *outage) {
+		o.node.callPeer = func(context.Context, string, string, any, any) error {
+			return &transport.RemoteError{Method: "Call", Text: "decode message"}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		o.c.Check(o.node.Forward(ctx, Call{Kind: SubmitJob}).Code, qt.Equals, Unknown)
+		leader, _ := o.node.router.leaderAndKeepers()
+		o.c.Check(leader, qt.Equals, "k1")
+	})
+}
--- a/cell/settings.go
+++ b/cell/settings.go
@@ -61,8 +61,10 @@
 	// takes about 100 ms.
 	callTimeout = 900 * time.Millisecond
 	// dialTimeout and maxDialBackoff bound how long a VM that has returned is not reached because an
-	// earlier attempt to connect has not ended: together less than the 0.7 s in which keepers restart.
-	dialTimeout    = 500 * time.Millisecond
+	// earlier attempt to connect has not ended. Together they are as long as the processes take to
+	// start and elect a leader after a power loss of all keepers. Connecting to the other region takes
+	// two round trips of 24 ms.
+	dialTimeout    = 300 * time.Millisecond
 	maxDialBackoff = 200 * time.Millisecond
 	// joinInterval is how often a VM sends Join to the leader.
 	joinInterval = 500 * time.Millisecond
