cell: a silent leader is given up no sooner than by a call without a reply

A doubted leader was given up 250 ms after the first call without a reply, so a leader whose event loop is behind by that much lost all calls to probes of the others.

--- a/cell/leaderfinder.go
+++ b/cell/leaderfinder.go
@@ -160,7 +160,7 @@
 		address = all[f.nextIndex%len(all)]
 	}
 	if f.isDoubted && address == f.leader {
-		return address, doubtedProbeTimeout
+		return address, attemptTimeout - silenceBeforeDoubt // given up no sooner than by a call without a reply
 	}
 	return address, f.timeoutFor(address)
 }
