dispatch, shortage: jobs that have begun go first when order follows costs

With OrderByCost, or accounts in the configuration, steps of the same lateness and priority are ordered by the fraction of the job's work that has not started, then by deadline. Capacity that a job has used is wasted if its other tasks come too late.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -27,6 +27,7 @@
 	truncatedTerm uint64
 	workers       map[string]*fakeWorker // by address
 	faults        faults
+	onLeader      func(*Scheduler) // changes each new leader, if not nil
 	// adviceLatency is how long the advisor takes for a call.
 	adviceLatency time.Duration
 	violations    []string // descriptions of broken rules
@@ -36,6 +37,8 @@
 	ackedDone map[job.TaskRef]bool
 	lastStart map[job.TaskRef]time.Duration
 	gangs     map[gangKey][]*fakeRun
+	// slowdown holds the jobs whose tasks take a multiple of what their estimates say.
+	slowdown map[job.ID]float64
 	// spent is the real time that the scheduler took, and startedRuns the number of starts.
 	spent       time.Duration
 	startedRuns int
@@ -73,12 +76,20 @@
 
 func newCluster(seed uint64, f faults) *cluster {
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f, adviceLatency: 50 * time.Millisecond,
-		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{}}
+		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{}, slowdown: map[job.ID]float64{}}
 	c.electLeader()
 	c.schedule(0, c.scheduleTicks)
 	return c
 }
 
+// slowdownOf returns how many times as long as estimated the tasks of a job take.
+func (c *cluster) slowdownOf(id job.ID) float64 {
+	if factor, ok := c.slowdown[id]; ok {
+		return factor
+	}
+	return 1
+}
+
 // schedule calls fn after the simulated time d.
 func (c *cluster) schedule(d time.Duration, fn func()) {
 	c.lastSerial++
@@ -152,6 +163,9 @@
 	c.term++
 	c.noLeader = false
 	c.sched = New(c.settings(), c.state, c.recordDecision)
+	if c.onLeader != nil {
+		c.onLeader(c.sched)
+	}
 	c.sched.SetAdvisorProxies([]string{"a", "b", "c", "d", "e"})
 	c.sched.BecomeLeader(c.now, c.wallMillis(), c.term)
 }
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/job"
+	"github.com/oleanderchute/oleanderchute/shortage"
 )
 
 // maxReadySteps is the number of ready steps of a job from which on its later occurrences wait, since
@@ -22,6 +23,8 @@
 	urgency                 // order in which it is placed
 	lateness lateness       // at the start of the newest pass
 	isStale  bool           // replaced or no longer ready
+	demand   shortage.Demand
+	rank     float64 // among the steps of the same lateness and priority, the lowest first
 	// pool is where the step runs, by the configuration at the newest placement attempt.
 	pool string
 	// retryAt is when the step is tried again after it found too little capacity, and failures how
@@ -30,7 +33,8 @@
 	failures int
 }
 
-// readySteps returns the ready steps in the order in which they are placed, the most urgent first.
+// readySteps returns the ready steps in the order in which they are placed, the most urgent first: by
+// lateness, priority, rank and deadline. The rank is 0 unless the order follows costs.
 func (s *Scheduler) readySteps() []*readyStep {
 	for id := range s.staleJobs {
 		s.refreshReady(id)
@@ -40,8 +44,12 @@
 	for _, r := range s.ordered {
 		r.lateness = r.latenessAt(s.wallMillis)
 	}
+	if s.ordersByCost() {
+		s.rankSteps(s.ordered)
+	}
 	slices.SortFunc(s.ordered, func(a, b *readyStep) int {
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.compareInTime(b.urgency), cmp.Compare(a.ref.Job, b.ref.Job),
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.deadlineMillis, b.deadlineMillis), cmp.Compare(a.ref.Job, b.ref.Job),
 			cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
 	})
 	return s.ordered
@@ -130,6 +138,7 @@
 		r.priority, r.releasedMillis = j.Queue.Priority, max(j.AcceptedMillis, j.DueMillis(occurrence))
 		r.deadlineMillis = r.releasedMillis + j.Queue.TargetMillis + int64(j.Queue.SlackFactor*float64(criticalPathMillis(&j.Spec, 0)))
 		r.remainingMillis = criticalPathMillis(&j.Spec, i)
+		r.demand = demandOf(&j.Spec, o, i, len(r.waiting))
 		out = append(out, r)
 	}
 	return out
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -73,6 +73,9 @@
 	topPriority        map[string]int
 	topPriorityVersion int64
 
+	// rankSteps sets the rank of all ready steps if the order follows costs. Benchmarks replace it.
+	rankSteps func([]*readyStep)
+
 	examined        int  // workers examined for steps since this node leads
 	needsPass       bool // something has changed that may let tasks be placed
 	nextPass        time.Duration
@@ -84,7 +87,7 @@
 // New returns a scheduler that does not lead yet. The caller applies operations to state and
 // reports each with Applied. record is called for each decision.
 func New(settings Settings, state *job.State, record func(Decision)) *Scheduler {
-	s := &Scheduler{settings: settings, record: record}
+	s := &Scheduler{settings: settings, record: record, rankSteps: rankByCost}
 	s.Reset(state)
 	return s
 }
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -296,7 +296,7 @@
 		w.cluster.joinGang(r)
 		return
 	}
-	length := time.Duration(float64(step.EstimateMillis)*(0.5+w.cluster.rng.Float64())) * time.Millisecond
+	length := time.Duration(float64(step.EstimateMillis)*(0.5+w.cluster.rng.Float64())*w.cluster.slowdownOf(o.Task.Job)) * time.Millisecond
 	kind := job.EndDone
 	if w.failsAllRuns || w.cluster.rng.Float64() < w.cluster.faults.failedRun {
 		kind, length = job.EndFailed, length/2
@@ -322,7 +322,7 @@
 		})
 		return
 	}
-	length := time.Duration(float64(r.step.EstimateMillis)*(0.5+c.rng.Float64())) * time.Millisecond
+	length := time.Duration(float64(r.step.EstimateMillis)*(0.5+c.rng.Float64())*c.slowdownOf(r.key.task.Job)) * time.Millisecond
 	kind := job.EndDone
 	if c.rng.Float64() < c.faults.failedRun {
 		kind, length = job.EndFailed, length/2
