--- a/cell/serve.go
+++ b/cell/serve.go
@@ -117,6 +117,10 @@
 		done(reply)
 		return
 	}
+	if a := h.scheduler.Admit(q, c.Spec, account); a.Rejected {
+		done(h.rejectJob(id, q, a))
+		return
+	}
 	h.submitting[id] = []submission{s}
 	h.propose(func(committed bool) { h.submitApplied(id, committed) },
 		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
