dispatch: learn the speed of workers and use it for gangs

Workers of one pool differ in speed and announce nothing that shows it. The leader now compares the done runs of each finished step with each other and keeps a decayed, bounded estimate for each worker incarnation. With ordersByCost, gangs are placed on, reserve and ask the advisor about workers of similar speed, and other steps prefer workers that are fast enough for them. Without it, placement is as before.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -168,13 +168,17 @@
 
 // selectToAsk returns the workers with the most slots, as many as are expected to take the step's
 // waiting tasks if the fraction rate of them is granted. Among workers with the same number of
-// slots, gangs prefer those on which they preempt the least. Other steps choose at random, since
+// slots, it prefers those of the wanted speed, and then gangs those on which they preempt the least. Other steps choose at random, since
 // steps that choose the same workers take them from each other before the answers arrive.
 func (s *Scheduler) selectToAsk(r *readyStep, candidates []workerSlots, rate float64) []*worker {
+	wanted := s.speedToAsk(r, candidates, rate)
 	slices.SortFunc(candidates, func(x, y workerSlots) int {
 		if x.slots != y.slots {
 			return cmp.Compare(y.slots, x.slots)
 		}
+		if d := wanted.compare(x.w, y.w); d != 0 {
+			return d
+		}
 		if r.step.Gang {
 			return cmp.Or(cmp.Compare(y.w.free().MilliCPU, x.w.free().MilliCPU), cmp.Compare(x.w.info.Number, y.w.info.Number))
 		}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -333,6 +333,7 @@
 		return
 	}
 	delete(s.lastFailedOn, op.Task)
+	s.learnFromStep(j, op.Task.StepRef)
 	for key, c := range s.claimsByJob[op.Task.Job] {
 		if key.task == op.Task && key.run != op.Run && c.phase != claimStopping {
 			s.sendStop(c, "task is done")
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -33,9 +33,14 @@
 	trace         []string // recorded decisions
 	// ackedDone holds the tasks with a done end that was acknowledged and is final, lastStart the
 	// time of the last start of each task.
-	ackedDone map[job.TaskRef]bool
-	lastStart map[job.TaskRef]time.Duration
-	gangs     map[gangKey][]*fakeRun
+	ackedDone   map[job.TaskRef]bool
+	lastStart   map[job.TaskRef]time.Duration
+	gangs       map[gangKey][]*fakeRun
+	orderByCost bool // Settings.OrderByCost of the leaders
+	// work returns the time that a run of a task takes on a worker of speed 1; nil for a random time
+	// around the estimate of the step.
+	work  func(job.TaskRef) time.Duration
+	onEnd func(*fakeRun, job.EndKind) // called when a run ends; may be nil
 	// spent is the real time that the scheduler took, and startedRuns the number of starts.
 	spent       time.Duration
 	startedRuns int
@@ -137,7 +142,7 @@
 }
 
 func (c *cluster) settings() Settings {
-	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, EndedJobRetention: time.Hour}
+	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, EndedJobRetention: time.Hour, OrderByCost: c.orderByCost}
 }
 
 // measure calls fn and adds the time that it takes to spent.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -137,8 +137,8 @@
 }
 
 // reserveCapacity reserves capacity for all waiting tasks of a gang and reports whether it did.
-// It prefers workers on which the most tasks fit now, then those on which the most tasks fit
-// into the result of capacity. It reserves nothing if the workers together have too little.
+// It prefers workers on which the most tasks fit now, then those of the wanted speed, then those on
+// which the most tasks fit into the result of capacity. It reserves nothing if the workers together have too little.
 func (s *Scheduler) reserveCapacity(r *readyStep, workers []*worker, capacity func(*readyStep, *worker) job.Resources, isWaiting bool) bool {
 	var list []reservationCandidate
 	total := 0
@@ -154,8 +154,9 @@
 	if total < missing {
 		return false
 	}
+	wanted := s.speedToReserve(r, list)
 	slices.SortStableFunc(list, func(a, b reservationCandidate) int {
-		return cmp.Or(cmp.Compare(b.slotsNow, a.slotsNow), cmp.Compare(b.slotsLater, a.slotsLater))
+		return cmp.Or(cmp.Compare(b.slotsNow, a.slotsNow), wanted.compare(a.w, b.w), cmp.Compare(b.slotsLater, a.slotsLater))
 	})
 	s.releaseReservation(r.ref)
 	res := &reservation{pool: r.pool, expiresAt: s.now + reservationTTL, isWaiting: isWaiting}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -52,6 +52,7 @@
 	proxies         map[string]*advisorProxy
 	queuedCalls     []*advisorCall
 	grantRates      map[string]float64 // mean fraction of the workers asked about that the advisor grants, by queue
+	speeds          speeds
 
 	// ready holds the steps of each job that have tasks to place. staleJobs are the jobs for
 	// which it has to be rebuilt.
@@ -97,7 +98,7 @@
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
-	s.reservations = map[job.StepRef]*reservation{}
+	s.reservations, s.speeds = map[job.StepRef]*reservation{}, newSpeeds()
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
@@ -177,7 +178,7 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load() Load {
-	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies()}
+	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies(), Speeds: s.speeds.spread}
 }
 
 // Actions returns and clears the actions since the last call, with the proposal first.
@@ -219,6 +220,7 @@
 	if now >= s.nextJobDeletion {
 		s.nextJobDeletion = now + jobDeletionInterval
 		s.deleteExpiredJobs()
+		s.centerSpeeds()
 	}
 	if s.needsPass && now >= s.nextPass {
 		s.needsPass, s.nextPass = false, now+passInterval
--- a/dispatch/select.go
+++ b/dispatch/select.go
@@ -84,10 +84,11 @@
 		}
 	}
 	s.examined += len(workers)
+	wanted := s.speedToSelect(r, candidates)
 	var placed []*worker
 	for _, index := range r.waiting {
 		s.examined += len(candidates)
-		best := s.bestCandidate(r, index, candidates, need)
+		best := s.bestCandidate(r, index, candidates, need, wanted)
 		if best == nil {
 			break
 		}
@@ -103,17 +104,17 @@
 }
 
 // bestCandidate selects the worker for one task, or nil. It prefers workers in the rack of the
-// data, then workers other than the one on which the task failed last, then the one with the least
-// free processors (best fit), or for best-effort tasks the one with the most idle processors.
-func (s *Scheduler) bestCandidate(r *readyStep, index uint16, candidates []*placementCandidate, need job.Resources) *placementCandidate {
+// data, then workers other than the one on which the task failed last, then those of the wanted
+// speed, then the one with the least free processors (best fit), or for best-effort tasks the one with the most idle processors.
+func (s *Scheduler) bestCandidate(r *readyStep, index uint16, candidates []*placementCandidate, need job.Resources, wanted speedRange) *placementCandidate {
 	avoid := s.lastFailedOn[job.TaskRef{StepRef: r.ref, Index: index}]
 	var best *placementCandidate
-	var bestScore [3]int64
+	var bestScore [4]int64
 	for _, candidate := range candidates {
 		if candidate.runsLeft <= 0 || !candidate.free.Fits(need) || r.step.MaxPerWorker > 0 && candidate.count >= r.step.MaxPerWorker {
 			continue
 		}
-		score := [3]int64{0, 0, candidate.free.MilliCPU}
+		score := [4]int64{0, 0, wanted.penalty(candidate.w), candidate.free.MilliCPU}
 		if r.step.DataRack != "" && candidate.w.info.Rack != r.step.DataRack {
 			score[0] = 1
 		}
@@ -121,7 +122,7 @@
 			score[1] = 1
 		}
 		if r.step.BestEffortCPU {
-			score[2] = candidate.bestEffortCPU - candidate.free.MilliCPU
+			score[3] = candidate.bestEffortCPU - candidate.free.MilliCPU
 		}
 		if best == nil || slices.Compare(score[:], bestScore[:]) < 0 {
 			best, bestScore = candidate, score
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -163,4 +163,9 @@
 	Workers     int // known worker incarnations
 	QueuedCalls int // calls to the advisor that wait for a proxy
 	BusyProxies int // calls to the advisor in flight
+	Speeds      SpeedSpread
 }
+
+// SpeedSpread is the range of the learned speeds of the workers, relative to the mean of their
+// pools. All are 0 if no speed is known.
+type SpeedSpread struct{ Slowest, Median, Fastest float64 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -71,6 +71,7 @@
 	// the incarnation stays registered, since the log names it as their worker.
 	movedClaims int
 	health      health
+	speed       workerSpeed
 }
 
 // addWorker adds a worker incarnation. leaseEnd is the time by which all leases that earlier
@@ -276,6 +277,9 @@
 			checkpoint = c.checkpoint
 		}
 		s.recordHealth(w, c, e.Kind)
+		if e.Kind == job.EndDone {
+			s.learnFromEnd(c)
+		}
 		s.removeClaim(c)
 	}
 	s.record(Decision{Event: "run ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.Name, Reason: e.Kind.String()})
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -13,6 +13,7 @@
 	info                 job.Worker
 	isUp, isPartitioned  bool
 	clockRate            float64 // rate of its clock relative to the simulated time
+	speed                float64 // a run takes its work divided by it
 	startedAt            time.Duration
 	fencingToken         uint64
 	leaseUntilMillis     int64 // end of the lease on its clock
@@ -42,6 +43,10 @@
 	step   *job.Step
 	worker *fakeWorker
 	isOver bool
+	// work is its duration on a worker of speed 1, set when its work begins at beganAt.
+	work, beganAt time.Duration
+	// doneBefore is the part of the work that earlier runs have done, less what it takes to resume.
+	doneBefore time.Duration
 }
 
 // gangKey identifies one run of a gang.
@@ -53,6 +58,13 @@
 // gangTimeout is how long a member of a gang waits for the others.
 const gangTimeout = 3 * time.Second
 
+const (
+	// restoreTime is how long a run takes to resume from a checkpoint on a worker of speed 1, and
+	// checkpointInterval the work between two checkpoints.
+	restoreTime        = 600 * time.Millisecond
+	checkpointInterval = 500 * time.Millisecond
+)
+
 // addWorker starts an incarnation at an address and ends the one that was there.
 func (c *cluster) addWorker(name, address string, capacity job.Resources) *fakeWorker {
 	startedMillis := 1 + c.now.Milliseconds()
@@ -60,7 +72,7 @@
 		old.isUp = false
 		startedMillis = max(startedMillis, old.info.StartedMillis+1)
 	}
-	w := &fakeWorker{cluster: c, isUp: true, startedAt: c.now, clockRate: 0.98 + 0.02*rand.New(rand.NewPCG(uint64(c.now), 7)).Float64(),
+	w := &fakeWorker{cluster: c, isUp: true, startedAt: c.now, speed: 1, clockRate: 0.98 + 0.02*rand.New(rand.NewPCG(uint64(c.now), 7)).Float64(),
 		runs: map[claimKey]*fakeRun{}, lastClosedRun: map[job.TaskRef]uint32{}, endMarks: map[uint64]endMark{},
 		info: job.Worker{Name: name, StartedMillis: startedMillis, Address: address, Pool: "desk", Rack: "r1", Capacity: capacity}}
 	c.workers[address] = w
@@ -183,6 +195,9 @@
 		return
 	}
 	r.isOver = true
+	if w.cluster.onEnd != nil {
+		w.cluster.onEnd(r, kind)
+	}
 	delete(w.runs, key)
 	if r.step.Gang && kind != job.EndDone {
 		w.cluster.stopGang(r)
@@ -190,7 +205,7 @@
 	w.lastClosedRun[key.task] = max(w.lastClosedRun[key.task], key.run)
 	w.lastEnd++
 	w.endMarks[w.lastEnd] = endMark{w.cluster.now, w.leaseExpiries}
-	w.ended = append(w.ended, EndedRun{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: kind})
+	w.ended = append(w.ended, EndedRun{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.checkpoint(kind)})
 	if w.answerRenewal != nil {
 		answer := w.answerRenewal
 		w.answerRenewal = nil
@@ -296,7 +311,11 @@
 		w.cluster.joinGang(r)
 		return
 	}
-	length := time.Duration(float64(step.EstimateMillis)*(0.5+w.cluster.rng.Float64())) * time.Millisecond
+	r.work, r.beganAt = w.cluster.workOf(key.task, step), w.cluster.now
+	if done, err := time.ParseDuration(o.Checkpoint); err == nil {
+		r.doneBefore = done - restoreTime
+	}
+	length := r.duration()
 	kind := job.EndDone
 	if w.failsAllRuns || w.cluster.rng.Float64() < w.cluster.faults.failedRun {
 		kind, length = job.EndFailed, length/2
@@ -308,8 +327,34 @@
 	})
 }
 
+// workOf returns the time that a run of a task takes on a worker of speed 1.
+func (c *cluster) workOf(ref job.TaskRef, step *job.Step) time.Duration {
+	if c.work != nil {
+		return c.work(ref)
+	}
+	return time.Duration(float64(step.EstimateMillis)*(0.5+c.rng.Float64())) * time.Millisecond
+}
+
+// duration returns how long the run takes on its worker.
+func (r *fakeRun) duration() time.Duration {
+	return time.Duration(float64(r.work-r.doneBefore) / r.worker.speed)
+}
+
+// checkpoint returns the checkpoint of a run that ends: the work done so far, empty if it has none.
+// Only runs of clusters whose tasks have work of their own have checkpoints.
+func (r *fakeRun) checkpoint(kind job.EndKind) string {
+	if r.worker.cluster.work == nil || kind != job.EndStopped || r.step.Gang || !r.step.Checkpointing {
+		return ""
+	}
+	done := r.doneBefore + time.Duration(float64(r.worker.cluster.now-r.beganAt)*r.worker.speed)
+	if done = done.Truncate(checkpointInterval); done <= 0 {
+		return ""
+	}
+	return done.String()
+}
+
 // joinGang adds a member to a run of a gang. The members wait for each other, and the last one
-// starts the work of all.
+// starts the work of all, which takes as long as that of the slowest member.
 func (c *cluster) joinGang(r *fakeRun) {
 	key := gangKey{r.key.task.StepRef, r.key.run}
 	c.gangs[key] = append(c.gangs[key], r)
@@ -322,7 +367,15 @@
 		})
 		return
 	}
-	length := time.Duration(float64(r.step.EstimateMillis)*(0.5+c.rng.Float64())) * time.Millisecond
+	common := c.workOf(r.key.task, r.step)
+	var length time.Duration
+	for _, m := range members {
+		if m.work = common; c.work != nil {
+			m.work = c.work(m.key.task)
+		}
+		m.beganAt = c.now
+		length = max(length, m.duration())
+	}
 	kind := job.EndDone
 	if c.rng.Float64() < c.faults.failedRun {
 		kind, length = job.EndFailed, length/2
