--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -47,8 +47,9 @@
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
 	reservations    map[job.StepRef]*reservation
-	lastFailedOn    map[job.TaskRef]uint32 // number of the worker on which a task failed last
-	startedJobs     map[job.ID]bool        // open jobs for which a worker has confirmed a start
+	lastFailedOn    map[job.TaskRef]uint32        // number of the worker on which a task failed last
+	savedWork       map[job.TaskRef]time.Duration // work in the newest checkpoint, where this leader knows it
+	startedJobs     map[job.ID]bool               // open jobs for which a worker has confirmed a start
 	proxies         map[string]*advisorProxy
 	queuedCalls     []*advisorCall
 	grantRates      map[string]float64 // mean fraction of the workers asked about that the advisor grants, by queue
@@ -69,6 +70,10 @@
 	// still take in the current pass, in thousandths of a core.
 	cpuBeyondHeadroom map[string]int64
 	allocatedCPU      map[poolPriority]int64 // processors of all claims, in thousandths of a core
+	// accounts holds the usage of the accounts by name, with the limits and weights of the
+	// configuration with the version accountsVersion.
+	accounts        map[string]*accountUsage
+	accountsVersion int64
 	// topPriority is the priority of the most urgent queue of each pool, computed from the
 	// configuration with the version topPriorityVersion; nil if it has to be recomputed.
 	topPriority        map[string]int
@@ -96,7 +101,9 @@
 	s.workers, s.byName, s.workersByNumber = map[uint32]*worker{}, map[string][]*worker{}, nil
 	s.claims, s.claimsByJob, s.proposedClaims = map[claimKey]*claim{}, map[job.ID]map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
+	s.savedWork = map[job.TaskRef]time.Duration{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
+	s.accounts, s.accountsVersion = map[string]*accountUsage{}, state.Config().Version
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations, s.speeds = map[job.StepRef]*reservation{}, newSpeeds()
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
@@ -242,6 +249,7 @@
 		s.propose(job.Op{DeleteJobs: ids})
 	}
 	maps.DeleteFunc(s.lastFailedOn, func(ref job.TaskRef, _ uint32) bool { return s.openJob(ref.Job) == nil })
+	maps.DeleteFunc(s.savedWork, func(ref job.TaskRef, _ time.Duration) bool { return s.openJob(ref.Job) == nil })
 	maps.DeleteFunc(s.startedJobs, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -276,6 +276,9 @@
 		if checkpoint == "" {
 			checkpoint = c.checkpoint
 		}
+		if checkpoint != "" {
+			s.recordSavedWork(c)
+		}
 		s.recordHealth(w, c, e.Kind)
 		if e.Kind == job.EndDone {
 			s.learnFromEnd(c)
