--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -26,6 +26,7 @@
 	workers       prometheus.Gauge
 	queuedCalls   prometheus.Gauge
 	busyProxies   prometheus.Gauge
+	workerSpeed   *prometheus.GaugeVec
 	adviceSeconds *prometheus.HistogramVec
 	diskFull      prometheus.Gauge
 	commitSeconds prometheus.Histogram
@@ -59,6 +60,8 @@
 			Help: "Calls to the advisor that wait for a member to send them, on the leader."}),
 		busyProxies: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_advisor_calls_in_flight",
 			Help: "Calls to the advisor that wait for its answer, on the leader."}),
+		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_worker_speed",
+			Help: "Learned speeds of the workers relative to the mean of their pools, on the leader; 0 if none is known."}, []string{"of"}),
 		adviceSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_advice_seconds",
 			Help: "Time that a call to the advisor waited for a member, and then for its answer.", Buckets: latencyBuckets}, []string{"phase"}),
 		diskFull: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_disk_full",
@@ -80,7 +83,7 @@
 			Help: "How long the group has tolerated fewer losses than it should, on the leader; 0 if it tolerates its number."}),
 	}
 	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.leader, m.openJobs, m.workers,
-		m.queuedCalls, m.busyProxies, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
+		m.queuedCalls, m.busyProxies, m.workerSpeed, m.adviceSeconds, m.diskFull, m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds,
 		m.heldCalls, m.heldSeconds, m.callsRejected, m.callsUnclear,
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return m
@@ -100,6 +103,9 @@
 	m.workers.Set(float64(l.Workers))
 	m.queuedCalls.Set(float64(l.QueuedCalls))
 	m.busyProxies.Set(float64(l.BusyProxies))
+	m.workerSpeed.WithLabelValues("slowest").Set(l.Speeds.Slowest)
+	m.workerSpeed.WithLabelValues("median").Set(l.Speeds.Median)
+	m.workerSpeed.WithLabelValues("fastest").Set(l.Speeds.Fastest)
 }
 
 func (m *metrics) setDiskFull(isFull bool) {
--- a/dispatch/speedrange.go
+++ b/dispatch/speedrange.go
@@ -63,7 +63,8 @@
 	if timeLeft <= 0 {
 		return maxSpeedClass + 1
 	}
-	needed := math.Log(speedMargin * float64(max(r.remainingMillis, 1)) / float64(timeLeft))
+	expected := max(s.expectedMillis(r.job.Queue.Name, r.remainingMillis), 1)
+	needed := math.Log(speedMargin * float64(expected) / float64(timeLeft))
 	return int(math.Ceil(min(max(needed/speedClassWidth, -maxSpeedClass), maxSpeedClass+1)))
 }
 
