--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -253,6 +253,29 @@
 	c.Assert(k.sched.expectedMillis("drafts", 1000), qt.Equals, int64(1000))
 }
 
+// Guards against speeds that drift together, which the comparison within steps cannot show and which
+// would make every worker seem too slow, and against means that mix pools.
+func TestSpeedsAreCentered(t *testing.T) {
+	k := newCluster(1, faults{})
+	k.orderByCost = true
+	k.sched.settings = k.settings()
+	k.setUp(7, false)
+	k.run(2 * time.Second)
+	workers := k.sched.sortedWorkers()
+	for i, class := range []int{1, 3, 5, -4, -2, 0} {
+		workers[i].setClass(class)
+		if i >= 3 {
+			other := *workers[i].info
+			other.Pool = "other"
+			workers[i].info = &other
+		}
+	}
+	k.sched.centerSpeeds()
+	for i, class := range []int{-2, 0, 2, -2, 0, 2, 0} {
+		qt.Assert(t, workers[i].speed.class(), qt.Equals, class)
+	}
+}
+
 // Guards against speeds that change the placement in deployments that do not order by cost.
 func TestPlacementIgnoresSpeedsUnlessOrderedByCost(t *testing.T) {
 	trace := func(knowsSpeeds, orderByCost bool) []string {
