--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -28,6 +28,7 @@
 	queuedCalls                                                        prometheus.Gauge
 	busyProxies                                                        prometheus.Gauge
 	accountShare, accountEntitlement, accountLimitUsed, accountBlocked *prometheus.GaugeVec
+	workerSpeed                                                        *prometheus.GaugeVec
 	adviceSeconds                                                      *prometheus.HistogramVec
 	diskFull                                                           prometheus.Gauge
 	commitSeconds                                                      prometheus.Histogram
@@ -71,6 +72,8 @@
 			Help: "Fraction of its limit that the runs of an account take, on the leader; 0 without a limit."}, []string{"account"}),
 		accountBlocked: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_account_blocked_steps",
 			Help: "Steps that the limit of their account keeps waiting, on the leader."}, []string{"account"}),
+		workerSpeed: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "oleander_cell_worker_speed",
+			Help: "Learned speeds of the workers relative to the mean of their pools, on the leader; 0 if none is known."}, []string{"of"}),
 		adviceSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "oleander_cell_advice_seconds",
 			Help: "Time that a call to the advisor waited for a member, and then for its answer.", Buckets: latencyBuckets}, []string{"phase"}),
 		diskFull: prometheus.NewGauge(prometheus.GaugeOpts{Name: "oleander_cell_disk_full",
@@ -92,7 +95,7 @@
 			Help: "How long the group has tolerated fewer losses than it should, on the leader; 0 if it tolerates its number."}),
 	}
 	m.registry.MustRegister(m.calls, m.callSeconds, m.orders, m.orderSeconds, m.decisions, m.rejectedJobs, m.leader, m.openJobs, m.workers,
-		m.queuedCalls, m.busyProxies, m.accountShare, m.accountEntitlement, m.accountLimitUsed, m.accountBlocked, m.adviceSeconds, m.diskFull,
+		m.queuedCalls, m.busyProxies, m.workerSpeed, m.accountShare, m.accountEntitlement, m.accountLimitUsed, m.accountBlocked, m.adviceSeconds, m.diskFull,
 		m.reducedToleranceSeconds, m.commitSeconds, m.eventWait, m.eventSeconds, m.heldCalls, m.heldSeconds, m.callsRejected, m.callsUnclear,
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return m
@@ -121,6 +124,9 @@
 		m.accountLimitUsed.WithLabelValues(a.Name).Set(a.LimitUsed)
 		m.accountBlocked.WithLabelValues(a.Name).Set(float64(a.BlockedSteps))
 	}
+	m.workerSpeed.WithLabelValues("slowest").Set(l.Speeds.Slowest)
+	m.workerSpeed.WithLabelValues("median").Set(l.Speeds.Median)
+	m.workerSpeed.WithLabelValues("fastest").Set(l.Speeds.Fastest)
 }
 
 func (m *metrics) setDiskFull(isFull bool) {
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -43,7 +43,12 @@
 	lastVersion int64 // of the configurations that setLimits has proposed
 	claimedAt   map[claimKey]time.Duration
 	// slowdown holds the jobs whose tasks take a multiple of what their estimates say.
-	slowdown map[job.ID]float64
+	slowdown    map[job.ID]float64
+	orderByCost bool // Settings.OrderByCost of the leaders
+	// work returns the time that a run of a task takes on a worker of speed 1; nil for a random time
+	// around the estimate of the step.
+	work  func(job.TaskRef) time.Duration
+	onEnd func(*fakeRun, job.EndKind) // called when a run ends; may be nil
 	// spent is the real time that the scheduler took, and startedRuns the number of starts.
 	spent       time.Duration
 	startedRuns int
@@ -154,7 +159,7 @@
 }
 
 func (c *cluster) settings() Settings {
-	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, EndedJobRetention: time.Hour}
+	return Settings{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, EndedJobRetention: time.Hour, OrderByCost: c.orderByCost}
 }
 
 // measure calls fn and adds the time that it takes to spent.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -165,6 +165,7 @@
 	BusyProxies int // calls to the advisor in flight
 	// Accounts are the accounts of the configuration in its order.
 	Accounts []AccountLoad
+	Speeds   SpeedSpread
 }
 
 // AccountLoad is the load that one client account causes.
@@ -180,3 +181,7 @@
 	// BlockedSteps is the number of steps that the limit keeps waiting.
 	BlockedSteps int
 }
+
+// SpeedSpread is the range of the learned speeds of the workers, relative to the mean of their
+// pools. All are 0 if no speed is known.
+type SpeedSpread struct{ Slowest, Median, Fastest float64 }
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -14,6 +13,7 @@
 	info                 job.Worker
 	isUp, isPartitioned  bool
 	clockRate            float64 // rate of its clock relative to the simulated time
+	speed                float64 // a run takes its work divided by it
 	startedAt            time.Duration
 	fencingToken         uint64
 	leaseUntilMillis     int64 // end of the lease on its clock
@@ -43,30 +43,10 @@
 	step   *job.Step
 	worker *fakeWorker
 	isOver bool
-	// began and length are when the run started and how long it takes, done the part of the task that
-	// the checkpoint it resumed from holds.
-	began, length time.Duration
-	done          float64
-}
-
-// restoreTime is how long a run takes to resume from a checkpoint.
-const restoreTime = 600 * time.Millisecond
-
-// resume shortens a run by what the checkpoint of its start holds.
-func (r *fakeRun) resume(checkpoint string, length, now time.Duration) time.Duration {
-	if _, err := fmt.Sscanf(checkpoint, "%f", &r.done); err == nil {
-		length = restoreTime + time.Duration((1-r.done)*float64(length))
-	}
-	r.began, r.length = now, length
-	return length
-}
-
-// checkpoint returns the checkpoint of a run that is stopped, empty if its step has none.
-func (r *fakeRun) checkpoint(now time.Duration) string {
-	if !r.step.Checkpointing || r.length == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%.3f", r.done+(1-r.done)*min(float64(now-r.began)/float64(r.length), 1))
+	// work is its duration on a worker of speed 1, set when its work begins at beganAt.
+	work, beganAt time.Duration
+	// doneBefore is the part of the work that earlier runs have done, less what it takes to resume.
+	doneBefore time.Duration
 }
 
 // gangKey identifies one run of a gang.
@@ -78,6 +58,11 @@
 // gangTimeout is how long a member of a gang waits for the others.
 const gangTimeout = 3 * time.Second
 
+const (
+	// restoreTime is how long a run takes to resume from a checkpoint on a worker of speed 1.
+	restoreTime = 600 * time.Millisecond
+)
+
 // addWorker starts an incarnation at an address and ends the one that was there.
 func (c *cluster) addWorker(name, address string, capacity job.Resources) *fakeWorker {
 	startedMillis := 1 + c.now.Milliseconds()
@@ -85,7 +70,7 @@
 		old.isUp = false
 		startedMillis = max(startedMillis, old.info.StartedMillis+1)
 	}
-	w := &fakeWorker{cluster: c, isUp: true, startedAt: c.now, clockRate: 0.98 + 0.02*rand.New(rand.NewPCG(uint64(c.now), 7)).Float64(),
+	w := &fakeWorker{cluster: c, isUp: true, startedAt: c.now, speed: 1, clockRate: 0.98 + 0.02*rand.New(rand.NewPCG(uint64(c.now), 7)).Float64(),
 		runs: map[claimKey]*fakeRun{}, lastClosedRun: map[job.TaskRef]uint32{}, endMarks: map[uint64]endMark{},
 		info: job.Worker{Name: name, StartedMillis: startedMillis, Address: address, Pool: "desk", Rack: "r1", Capacity: capacity}}
 	c.workers[address] = w
@@ -208,6 +193,9 @@
 		return
 	}
 	r.isOver = true
+	if w.cluster.onEnd != nil {
+		w.cluster.onEnd(r, kind)
+	}
 	delete(w.runs, key)
 	if r.step.Gang && kind != job.EndDone {
 		w.cluster.stopGang(r)
@@ -215,7 +203,7 @@
 	w.lastClosedRun[key.task] = max(w.lastClosedRun[key.task], key.run)
 	w.lastEnd++
 	w.endMarks[w.lastEnd] = endMark{w.cluster.now, w.leaseExpiries}
-	w.ended = append(w.ended, EndedRun{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.checkpoint(w.cluster.now)})
+	w.ended = append(w.ended, EndedRun{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.checkpoint(kind)})
 	if w.answerRenewal != nil {
 		answer := w.answerRenewal
 		w.answerRenewal = nil
@@ -321,8 +309,11 @@
 		w.cluster.joinGang(r)
 		return
 	}
-	length := time.Duration(float64(step.EstimateMillis)*(0.5+w.cluster.rng.Float64())*w.cluster.slowdownOf(o.Task.Job)) * time.Millisecond
-	length = r.resume(o.Checkpoint, length, w.cluster.now)
+	r.work, r.beganAt = w.cluster.workOf(key.task, step), w.cluster.now
+	if done, err := time.ParseDuration(o.Checkpoint); err == nil {
+		r.doneBefore = done - restoreTime
+	}
+	length := r.duration()
 	kind := job.EndDone
 	if w.failsAllRuns || w.cluster.rng.Float64() < w.cluster.faults.failedRun {
 		kind, length = job.EndFailed, length/2
@@ -334,8 +325,33 @@
 	})
 }
 
+// workOf returns the time that a run of a task takes on a worker of speed 1.
+func (c *cluster) workOf(ref job.TaskRef, step *job.Step) time.Duration {
+	if c.work != nil {
+		return c.work(ref)
+	}
+	return time.Duration(float64(step.EstimateMillis)*(0.5+c.rng.Float64())*c.slowdownOf(ref.Job)) * time.Millisecond
+}
+
+// duration returns how long the run takes on its worker.
+func (r *fakeRun) duration() time.Duration {
+	return time.Duration(float64(r.work-r.doneBefore) / r.worker.speed)
+}
+
+// checkpoint returns the checkpoint of a run that ends: the work done so far, empty if it has none.
+func (r *fakeRun) checkpoint(kind job.EndKind) string {
+	if kind == job.EndDone || r.step.Gang || !r.step.Checkpointing {
+		return ""
+	}
+	done := r.doneBefore + time.Duration(float64(r.worker.cluster.now-r.beganAt)*r.worker.speed)
+	if done <= 0 {
+		return ""
+	}
+	return done.String()
+}
+
 // joinGang adds a member to a run of a gang. The members wait for each other, and the last one
-// starts the work of all.
+// starts the work of all, which takes as long as that of the slowest member.
 func (c *cluster) joinGang(r *fakeRun) {
 	key := gangKey{r.key.task.StepRef, r.key.run}
 	c.gangs[key] = append(c.gangs[key], r)
@@ -348,7 +364,15 @@
 		})
 		return
 	}
-	length := time.Duration(float64(r.step.EstimateMillis)*(0.5+c.rng.Float64())*c.slowdownOf(r.key.task.Job)) * time.Millisecond
+	common := c.workOf(r.key.task, r.step)
+	var length time.Duration
+	for _, m := range members {
+		if m.work = common; c.work != nil {
+			m.work = c.work(m.key.task)
+		}
+		m.beganAt = c.now
+		length = max(length, m.duration())
+	}
 	kind := job.EndDone
 	if c.rng.Float64() < c.faults.failedRun {
 		kind, length = job.EndFailed, length/2
