--- a/cell/forward_test.go
+++ b/cell/forward_test.go
@@ -30,6 +30,7 @@
 	began  time.Time
 	keeper func(ms int64, address string) keeperModel
 	calls  sync.WaitGroup
+	lines  *timeline // of the VM's log
 
 	mu       sync.Mutex
 	accepted map[string]bool // paths of the submits that were carried out
@@ -52,8 +53,8 @@
 func runOutage(t *testing.T, keeper func(ms int64, address string) keeperModel, fn func(o *outage)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		o := &outage{c: c, keeper: keeper, accepted: map[string]bool{}, began: time.Now()}
-		node, err := New(Settings{Address: "e1", Seeds: []string{"k1", "k2", "k3", "k4", "k5"}}, nil, nil, zap.NewNop())
+		o := &outage{c: c, keeper: keeper, accepted: map[string]bool{}, began: time.Now(), lines: newTimeline()}
+		node, err := New(Settings{Address: "e1", Seeds: []string{"k1", "k2", "k3", "k4", "k5"}}, nil, nil, zap.New(o.lines))
 		c.Assert(err, qt.IsNil)
 		node.callPeer = o.call
 		node.router.probeReplied("k1", false, JoinReply{Leader: "k1", Keepers: node.settings.Seeds})
@@ -456,3 +457,36 @@
 		o.c.Check(leader, qt.Equals, "k1")
 	})
 }
+
+// sum returns the sum of a counter, or of the number of observations of a histogram, over all labels.
+func (o *outage) sum(name string) (sum int) {
+	families, err := o.node.Metrics().Gather()
+	o.c.Assert(err, qt.IsNil)
+	for _, f := range families {
+		if f.GetName() == name {
+			for _, m := range f.GetMetric() {
+				sum += int(m.GetCounter().GetValue()) + int(m.GetHistogram().GetSampleCount()) + int(m.GetGauge().GetValue())
+			}
+		}
+	}
+	return sum
+}
+
+// Guards against an outage that the counters and the log do not show: calls held, rejected and unclear, and
+// one line for the loss of a leader and one for the next.
+func TestCountersAndLogLinesOfAnOutage(t *testing.T) {
+	runOutage(t, allDownFrom1500To5000, func(o *outage) {
+		o.submitPeriodically(7000)
+		byCode := o.check(1400, 1700, 5680)
+		o.c.Check(o.sum("oleander_cell_calls_rejected_total"), qt.Equals, byCode[Unavailable]+byCode[Unknown])
+		unclear := o.sum("oleander_cell_calls_unclear_total")
+		o.c.Check(unclear >= byCode[Unknown] && unclear < 40, qt.IsTrue, qt.Commentf("%d", unclear))
+		held := o.sum("oleander_cell_call_held_seconds")
+		o.c.Check(held >= byCode[Unavailable] && held < 700, qt.IsTrue, qt.Commentf("%d", held))
+		o.c.Check(o.sum("oleander_cell_held_calls"), qt.Equals, 0)
+		o.c.Check(o.lines.count("leader lost"), qt.Equals, 1)
+		o.c.Check(o.lines.count("leader found"), qt.Equals, 2) // k1 at the start, then k2
+		foundAt := o.lines.at("leader found", 2).Sub(o.began)
+		o.c.Check(foundAt < 5620*time.Millisecond, qt.IsTrue, qt.Commentf("%v", foundAt))
+	})
+}
