--- a/cell/forward.go
+++ b/cell/forward.go
@@ -54,7 +54,7 @@
 			n.metrics.callsUnclear.WithLabelValues(c.Kind.String()).Inc()
 		}
 		if reply.Code != NotLeader && reply.Code != Interrupted {
-			return reply
+			return settle(c, reply, isUnclear)
 		}
 		if attempt > 0 {
 			sleep(ctx, retryInterval-time.Since(began))
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -60,6 +60,7 @@
 	// startMayArrive is set once a start got no reply, or if an earlier leader sent one: a
 	// copy of the order may still be in flight.
 	startMayArrive bool
+	hasResumed     bool // the newest start carried a checkpoint
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
 	isListed  bool
@@ -67,7 +68,8 @@
 	// latenessWhenPlaced is the lateness of its step when the claim was made; inTime if an earlier
 	// leader made it.
 	latenessWhenPlaced lateness
-	poolPriority       poolPriority // pool and priority under which its processors count in allocatedCPU
+	poolPriority       poolPriority  // pool and priority under which its processors count in allocatedCPU
+	account            *accountUsage // under which its allocation counts, nil if step is nil
 }
 
 // mustBeInReport reports whether a report that was requested at a time must list the run or its
@@ -110,6 +112,7 @@
 	if step != nil {
 		c.poolPriority = s.poolPriorityOf(ref.Job, w.info.Pool)
 		s.allocatedCPU[c.poolPriority] += step.Allocation().MilliCPU
+		s.addUsage(c)
 		w.allocated = w.allocated.Plus(step.Allocation())
 		if step.BestEffortCPU {
 			w.bestEffortCPU += step.TaskResources.MilliCPU
@@ -131,6 +134,7 @@
 	}
 	if c.step != nil {
 		s.allocatedCPU[c.poolPriority] -= c.allocation().MilliCPU
+		s.removeUsage(c)
 		c.worker.allocated = c.worker.allocated.Minus(c.step.Allocation())
 		if c.step.BestEffortCPU {
 			c.worker.bestEffortCPU -= c.step.TaskResources.MilliCPU
@@ -190,7 +194,7 @@
 		s.withdrawClaim(c, "job ended before its start was sent")
 		return
 	}
-	c.phase, c.retryAt = claimSent, 0
+	c.phase, c.retryAt, c.hasResumed = claimSent, 0, c.checkpoint != ""
 	s.actions = append(s.actions, Start{Order: s.newOrder(c.worker), Task: c.key.task, Run: c.key.run,
 		Payload: j.Spec.Payload, Checkpoint: c.checkpoint, Ticket: c.ticket})
 }
