--- a/dispatch/share_load_test.go
+++ b/dispatch/share_load_test.go
@@ -47,6 +47,7 @@
 // run returns the mean value of the jobs of each account that were submitted between from and until.
 func (l accountLoad) run(from, until time.Duration) []float64 {
 	k := newCluster(l.seed, faults{failedRun: 0.02})
+	k.sched.record = func(Decision) {} // a trace of this length takes much memory
 	config := &job.Config{Version: 1, Pools: []job.Pool{{Name: "desk"}}, HasAccounts: l.hasAccounts}
 	classes := wideLoad()
 	for _, class := range classes {
