--- a/cell/serve.go
+++ b/cell/serve.go
@@ -113,8 +113,8 @@
 		h.submitting[id] = append(waiters, s)
 		return
 	}
-	if reply, exceeds := h.checkLimit(c); exceeds {
-		done(reply)
+	if reason, exceeds := h.scheduler.ExceedsLimit(c.Spec, account); exceeds {
+		done(Reply{Code: LimitExceeded, Text: reason})
 		return
 	}
 	if a := h.scheduler.Admit(q, c.Spec, account); a.Rejected {
