--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/job"
+	"github.com/oleanderchute/oleanderchute/shortage"
 )
 
 const (
@@ -74,11 +75,21 @@
 	// configuration with the version accountsVersion.
 	accounts        map[string]*accountUsage
 	accountsVersion int64
+	beyondRate      map[job.ID]bool // open jobs that were accepted beyond the rate of their account
 	// topPriority is the priority of the most urgent queue of each pool, computed from the
 	// configuration with the version topPriorityVersion; nil if it has to be recomputed.
 	topPriority        map[string]int
 	topPriorityVersion int64
 
+	// loads holds the load of each pool at the start of the newest pass if knowsLoads is set, from which
+	// jobs are admitted.
+	loads        map[string]*poolLoad
+	knowsLoads   bool
+	leadingSince time.Duration
+	meanWork     map[string]*shortage.MeanWork // by queue
+	// rankSteps sets the rank of all ready steps if the order follows costs. Benchmarks replace it.
+	rankSteps func([]*readyStep)
+
 	examined        int  // workers examined for steps since this node leads
 	needsPass       bool // something has changed that may let tasks be placed
 	nextPass        time.Duration
@@ -91,6 +102,7 @@
 // reports each with Applied. record is called for each decision.
 func New(settings Settings, state *job.State, record func(Decision)) *Scheduler {
 	s := &Scheduler{settings: settings, record: record}
+	s.rankSteps = s.rankByCost
 	s.Reset(state)
 	return s
 }
@@ -104,10 +116,12 @@
 	s.savedWork = map[job.TaskRef]time.Duration{}
 	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
 	s.accounts, s.accountsVersion = map[string]*accountUsage{}, state.Config().Version
+	s.beyondRate = map[job.ID]bool{}
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations, s.speeds = map[job.StepRef]*reservation{}, newSpeeds()
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
+	s.loads, s.knowsLoads, s.meanWork = map[string]*poolLoad{}, false, map[string]*shortage.MeanWork{}
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
@@ -140,10 +154,14 @@
 // BecomeLeader builds the soft state of a new leader. wallMillis is the Unix time at now.
 func (s *Scheduler) BecomeLeader(now time.Duration, wallMillis int64, term uint64) {
 	s.Reset(s.state)
-	s.leading, s.term, s.now, s.wallMillis = true, term, now, wallMillis
+	s.leading, s.term, s.now, s.wallMillis, s.leadingSince = true, term, now, wallMillis, now
 	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.maxLeaseElapsed()) })
 	s.state.OpenJobs(func(j *job.Job) { s.staleJobs[j.ID] = true })
-	s.state.Jobs(func(j *job.Job) { s.adoptClaims(j) })
+	s.state.Jobs(func(j *job.Job) {
+		s.adoptClaims(j)
+		s.countWork(j)
+	})
+	s.replayRates()
 	s.needsPass = true
 }
 
@@ -185,7 +203,8 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load() Load {
-	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies(), Speeds: s.speeds.spread}
+	return Load{OpenJobs: s.state.OpenCount(), Workers: len(s.workers), QueuedCalls: len(s.queuedCalls), BusyProxies: s.busyProxies(),
+		Accounts: s.accountLoads(), Speeds: s.speeds.spread}
 }
 
 // Actions returns and clears the actions since the last call, with the proposal first.
@@ -250,6 +269,7 @@
 	}
 	maps.DeleteFunc(s.lastFailedOn, func(ref job.TaskRef, _ uint32) bool { return s.openJob(ref.Job) == nil })
 	maps.DeleteFunc(s.savedWork, func(ref job.TaskRef, _ time.Duration) bool { return s.openJob(ref.Job) == nil })
+	maps.DeleteFunc(s.beyondRate, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 	maps.DeleteFunc(s.startedJobs, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 }
 
@@ -285,6 +305,10 @@
 	switch {
 	case op.Submit != nil:
 		s.staleJobs[op.Submit.ID] = true
+		if j := s.state.Job(op.Submit.ID); j != nil && j.AcceptedMillis == op.Submit.AcceptedMillis && s.state.Config().HasAccounts {
+			s.jobAccepted(j)
+		}
+		s.countWork(s.state.Job(op.Submit.ID))
 	case op.Claim != nil:
 		s.claimApplied(op.Claim)
 	case op.End != nil:
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -59,10 +59,8 @@
 const gangTimeout = 3 * time.Second
 
 const (
-	// restoreTime is how long a run takes to resume from a checkpoint on a worker of speed 1, and
-	// checkpointInterval the work between two checkpoints.
-	restoreTime        = 600 * time.Millisecond
-	checkpointInterval = 500 * time.Millisecond
+	// restoreTime is how long a run takes to resume from a checkpoint on a worker of speed 1.
+	restoreTime = 600 * time.Millisecond
 )
 
 // addWorker starts an incarnation at an address and ends the one that was there.
@@ -332,7 +330,7 @@
 	if c.work != nil {
 		return c.work(ref)
 	}
-	return time.Duration(float64(step.EstimateMillis)*(0.5+c.rng.Float64())) * time.Millisecond
+	return time.Duration(float64(step.EstimateMillis)*(0.5+c.rng.Float64())*c.slowdownOf(ref.Job)) * time.Millisecond
 }
 
 // duration returns how long the run takes on its worker.
@@ -341,13 +339,12 @@
 }
 
 // checkpoint returns the checkpoint of a run that ends: the work done so far, empty if it has none.
-// Only runs of clusters whose tasks have work of their own have checkpoints.
 func (r *fakeRun) checkpoint(kind job.EndKind) string {
-	if r.worker.cluster.work == nil || kind != job.EndStopped || r.step.Gang || !r.step.Checkpointing {
+	if kind == job.EndDone || r.step.Gang || !r.step.Checkpointing {
 		return ""
 	}
 	done := r.doneBefore + time.Duration(float64(r.worker.cluster.now-r.beganAt)*r.worker.speed)
-	if done = done.Truncate(checkpointInterval); done <= 0 {
+	if done <= 0 {
 		return ""
 	}
 	return done.String()
