dispatch: an account's less urgent work leaves room below its limit for urgent jobs

Cause: with limits in force, urgent jobs of an account whose limit is full of gangs and batches wait until one of their runs ends, and are late. What urgent runs used lately, at most a fifth of the limit, is kept free of less urgent work.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -44,6 +44,11 @@
 	limit amounts // fairshare.NoLimit in a dimension without one
 	// held is kept below the limit in the current pass for gangs that the limit has blocked for long.
 	held amounts
+	// urgentUsed is the part of used that claims of the most urgent queues take, and urgentPeak what they
+	// took at most, decayed since.
+	urgentUsed    amounts
+	urgentPeak    [len(dimensions)]float64
+	peakAtSeconds float64
 	// weight is the account's part of a full pool, relative to the other accounts. usage is what its
 	// runs take in each pool.
 	weight float64
@@ -107,12 +112,18 @@
 	}
 	c.account = s.accountNamed(name)
 	c.account.used.add(amountsOf(c.allocation()))
+	if c.isUrgent = s.isUrgent(c.poolPriority.priority, c.poolPriority.pool); c.isUrgent {
+		c.account.urgentUsed.add(amountsOf(c.allocation()))
+	}
 	c.account.usageIn(c.poolPriority.pool).used.add(amountsOf(c.allocation()))
 }
 
 // removeUsage subtracts the allocation of a claim from the usage to which it was added.
 func (s *Scheduler) removeUsage(c *claim) {
 	c.account.used.subtract(amountsOf(c.allocation()))
+	if c.isUrgent {
+		c.account.urgentUsed.subtract(amountsOf(c.allocation()))
+	}
 	c.account.usageIn(c.poolPriority.pool).used.subtract(amountsOf(c.allocation()))
 }
 
@@ -125,6 +136,7 @@
 			s.configureAccount(a)
 		}
 		a.held, a.blockedInPass = amounts{}, 0
+		a.updateUrgentPeak(s.now.Seconds())
 	}
 	s.accountsVersion = version
 }
@@ -141,9 +153,9 @@
 // account: all or none of a gang.
 func (s *Scheduler) startsWithinLimit(r *readyStep) int {
 	a, n := r.account, int64(len(r.waiting))
-	used, each := a.used, amountsOf(r.step.Allocation())
+	used, each, limit := a.used, amountsOf(r.step.Allocation()), s.limitFor(r)
 	used.add(a.held)
-	fitting := fairshare.Fitting(used[:], each[:], a.limit[:], n)
+	fitting := fairshare.Fitting(used[:], each[:], limit[:], n)
 	if r.step.Gang && fitting < n {
 		return 0
 	}
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -28,15 +28,20 @@
 // computeHeadroom computes how much of each pool's idle processors work below the top priority
 // may take in this pass.
 func (s *Scheduler) computeHeadroom() {
-	if version := s.state.Config().Version; s.topPriority == nil || version != s.topPriorityVersion {
-		s.topPriority, s.topPriorityVersion = topPriorities(s.state.Config().Queues), version
-	}
 	s.cpuBeyondHeadroom = map[string]int64{}
 	for pool, idle := range s.idleCPU {
 		s.cpuBeyondHeadroom[pool] = idle - int64(headroomFraction*float64(s.allocatedCPU[poolPriority{pool, s.topPriority[pool]}]))
 	}
 }
 
+// updateTopPriority takes the priority of the most urgent queue of each pool from the newest
+// configuration.
+func (s *Scheduler) updateTopPriority() {
+	if version := s.state.Config().Version; s.topPriority == nil || version != s.topPriorityVersion {
+		s.topPriority, s.topPriorityVersion = topPriorities(s.state.Config().Queues), version
+	}
+}
+
 // topPriorities returns the priority of the most urgent queue of each pool.
 func topPriorities(queues []job.Queue) map[string]int {
 	top := map[string]int{}
--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -24,6 +24,7 @@
 // runPass runs a scheduling pass: it tries to place the waiting tasks of the ready steps, the most
 // urgent steps first, until it has examined maxExaminedPerPass workers.
 func (s *Scheduler) runPass() {
+	s.updateTopPriority()
 	s.beginAccountPass()
 	ready := s.readySteps()
 	if len(ready) == 0 {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -155,6 +155,7 @@
 func (s *Scheduler) BecomeLeader(now time.Duration, wallMillis int64, term uint64) {
 	s.Reset(s.state)
 	s.leading, s.term, s.now, s.wallMillis, s.leadingSince = true, term, now, wallMillis, now
+	s.updateTopPriority()
 	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.maxLeaseElapsed()) })
 	s.state.OpenJobs(func(j *job.Job) { s.staleJobs[j.ID] = true })
 	s.state.Jobs(func(j *job.Job) {
