--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -42,7 +42,7 @@
 	clear(s.staleJobs)
 	s.ordered = slices.DeleteFunc(s.ordered, func(r *readyStep) bool { return r.isStale })
 	for _, r := range s.ordered {
-		r.lateness = r.latenessAt(s.wallMillis)
+		r.lateness, r.rank = r.latenessAt(s.wallMillis), 0
 	}
 	if s.ordersByCost() {
 		s.updateLoads(s.ordered)
--- a/shortage/admission.go
+++ b/shortage/admission.go
@@ -110,20 +110,21 @@
 }
 
 // expect estimates when a new job would start at a capacity. While the job can be in time, the work that
-// can be in time and is at least as urgent goes first. From then on, all work that can be in time and the
-// late work that is at least as urgent goes first.
+// can be in time and is at least as urgent goes first. From then on, the late work that is more urgent goes
+// first too. Late work of the same priority does not count: it becomes worthless before the job does.
 func (w *waiting) expect(r Request, capacity float64) Expectation {
-	inTime, inTimeOfAll, late := 0.0, 0.0, 0.0
+	inTime, late := 0.0, 0.0
 	for _, l := range w.levels {
-		inTimeOfAll += l.inTime
 		if l.priority <= r.Priority {
 			inTime += l.inTime
+		}
+		if l.priority < r.Priority {
 			late += l.late
 		}
 	}
 	e := Expectation{Start: inTime / capacity, WorkAhead: inTime}
 	if e.Start+r.CriticalPath > r.Objective {
-		e = Expectation{Start: (inTimeOfAll + late) / capacity, WorkAhead: inTimeOfAll + late}
+		e = Expectation{Start: (inTime + late) / capacity, WorkAhead: inTime + late}
 	}
 	e.Excess = e.Start + r.CriticalPath - r.Limit
 	return e
