--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -60,8 +60,11 @@
 		if r.lateness == worthless || r.step.LongRunning || r.step.RequiredLabel != "" {
 			continue
 		}
-		work := float64(len(r.waiting)) * float64(r.step.Allocation().MilliCPU) * float64(min(max(r.step.EstimateMillis, 0), maxCountedMillis))
-		s.loadOf(r.job.Queue.Pool).backlog.Add(r.priority, r.lateness != inTime, work, r.job.Account, s.accountWeight(r.job.Account))
+		timeLeft := r.deadlineMillis - s.wallMillis
+		s.loadOf(r.job.Queue.Pool).backlog.Add(shortage.Step{Priority: r.priority, IsLate: r.lateness != inTime,
+			Work:     float64(len(r.waiting)) * float64(r.step.Allocation().MilliCPU) * float64(min(max(r.step.EstimateMillis, 0), maxCountedMillis)),
+			Deadline: float64(timeLeft), Worthless: float64(timeLeft + (worthlessFactor-1)*(r.deadlineMillis-r.releasedMillis)),
+			Account: r.job.Account, Weight: s.accountWeight(r.job.Account)})
 	}
 	s.knowsLoads = true
 }
--- a/dispatch/shortage_load_test.go
+++ b/dispatch/shortage_load_test.go
@@ -443,3 +443,17 @@
 		}
 	}
 }
+
+// BenchmarkOrderOfABacklog measures how long it takes to order 2000 waiting steps, with and without costs.
+func BenchmarkOrderOfABacklog(b *testing.B) {
+	k := newBacklog(60, 2000)
+	for _, byCost := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byCost=%v", byCost), func(b *testing.B) {
+			b.ReportAllocs()
+			k.sched.settings.OrderByCost = byCost
+			for b.Loop() {
+				k.sched.readySteps()
+			}
+		})
+	}
+}
--- a/shortage/admission.go
+++ b/shortage/admission.go
@@ -1,13 +1,15 @@
 package shortage
 
-import "cmp"
+import "slices"
 
 // Backlog holds sums over the waiting work of a pool and over its workers, from which the start of a
 // new job is estimated without a walk over the backlog. Work is in thousandths of a core times
 // milliseconds.
 //
 // All estimates are optimistic, since a rejection must be right: they leave out running work, work that
-// will arrive later, fragmentation of the workers, and memory.
+// will arrive later, fragmentation of the workers, and memory, and they count waiting work only until it
+// becomes worthless. Without the last, a fifth to a third of the jobs that were rejected in a flood would
+// have been served, and less value was earned than without admission.
 type Backlog struct {
 	Capacity float64 // thousandths of a core of all workers of the pool
 	total    waiting
@@ -21,55 +23,74 @@
 	levels []level
 }
 
-// level is the waiting work of one priority.
+// level is the waiting work of one priority. deadline is the latest deadline of the work that can be in time,
+// and worthless the time at which all the work is worthless, in milliseconds from now.
 type level struct {
-	priority     int
-	inTime, late float64
+	priority            int
+	inTime, late        float64
+	deadline, worthless float64
 }
 
-// Reset forgets the waiting work. It keeps the memory.
+// Step is a waiting step. Times are in milliseconds from now.
+type Step struct {
+	Priority            int
+	IsLate              bool
+	Work                float64 // of its waiting tasks
+	Deadline, Worthless float64 // when its job should be done, and when the result is worth nothing
+	Account             string
+	Weight              float64 // of the account; 0 without accounts
+}
+
+// Reset forgets the waiting work. It keeps the memory, except that of accounts that had no waiting work.
 func (b *Backlog) Reset() {
 	b.total.levels = b.total.levels[:0]
-	for _, w := range b.accounts {
+	for name, w := range b.accounts {
+		if len(w.levels) == 0 {
+			delete(b.accounts, name)
+		}
 		w.levels = w.levels[:0]
 	}
 	b.weights = 0
 }
 
-// Add adds the waiting work of a step. account is empty without accounts, weight is the account's.
-func (b *Backlog) Add(priority int, isLate bool, work float64, account string, weight float64) {
-	b.total.add(priority, isLate, work)
-	if weight <= 0 {
+// Add adds a waiting step.
+func (b *Backlog) Add(step Step) {
+	b.total.add(step)
+	if step.Weight <= 0 {
 		return
 	}
-	w := b.accounts[account]
+	w := b.accounts[step.Account]
 	if w == nil {
 		if b.accounts == nil {
 			b.accounts = map[string]*waiting{}
 		}
 		w = &waiting{}
-		b.accounts[account] = w
+		b.accounts[step.Account] = w
 	}
 	if len(w.levels) == 0 {
-		w.weight = weight
-		b.weights += weight
+		w.weight = step.Weight
+		b.weights += step.Weight
 	}
-	w.add(priority, isLate, work)
+	w.add(step)
 }
 
-func (w *waiting) add(priority int, isLate bool, work float64) {
+// add adds a step to the level of its priority. The levels are sorted, the most urgent first.
+func (w *waiting) add(step Step) {
 	i := 0
-	for i < len(w.levels) && w.levels[i].priority != priority {
+	for i < len(w.levels) && w.levels[i].priority < step.Priority {
 		i++
 	}
-	if i == len(w.levels) {
-		w.levels = append(w.levels, level{priority: priority})
+	if i == len(w.levels) || w.levels[i].priority != step.Priority {
+		w.levels = slices.Insert(w.levels, i, level{priority: step.Priority})
 	}
-	if isLate {
-		w.levels[i].late += work
-	} else {
-		w.levels[i].inTime += work
+	l := &w.levels[i]
+	l.worthless = max(l.worthless, step.Worthless)
+	if step.IsLate {
+		l.late += step.Work
+		return
 	}
+	l.inTime += step.Work
+	l.deadline = max(l.deadline, step.Deadline)
 }
 
 // Request is what a new job needs. Times are in milliseconds.
@@ -102,7 +123,7 @@
 		if own == nil || len(own.levels) == 0 {
 			own, weights = &waiting{}, weights+r.Weight
 		}
-		if x := own.expect(r, b.Capacity*r.Weight/weights); cmp.Compare(x.Start, e.Start) < 0 {
+		if x := own.expect(r, b.Capacity*r.Weight/weights); x.Start < e.Start {
 			e = x
 		}
 	}
@@ -110,22 +131,31 @@
 }
 
 // expect estimates when a new job would start at a capacity. While the job can be in time, the work that
-// can be in time and is at least as urgent goes first. From then on, the late work that is more urgent goes
-// first too. Late work of the same priority does not count: it becomes worthless before the job does.
+// can be in time and is at least as urgent goes first, until its own deadline. From then on, all work that is more
+// urgent goes first, until it is worthless. Late work of the same priority becomes worthless before the job.
 func (w *waiting) expect(r Request, capacity float64) Expectation {
-	inTime, late := 0.0, 0.0
+	early, lateStart := Expectation{}, Expectation{}
 	for _, l := range w.levels {
-		if l.priority <= r.Priority {
-			inTime += l.inTime
+		if l.priority > r.Priority {
+			break
 		}
+		early.wait(l.inTime, capacity, l.deadline)
 		if l.priority < r.Priority {
-			late += l.late
+			lateStart.wait(l.inTime+l.late, capacity, l.worthless)
+		} else {
+			lateStart.wait(l.inTime, capacity, l.deadline)
 		}
 	}
-	e := Expectation{Start: inTime / capacity, WorkAhead: inTime}
+	e := early
 	if e.Start+r.CriticalPath > r.Objective {
-		e = Expectation{Start: (inTime + late) / capacity, WorkAhead: inTime + late}
+		e = lateStart
 	}
 	e.Excess = e.Start + r.CriticalPath - r.Limit
 	return e
 }
+
+// wait adds work that goes first, but not after a time.
+func (e *Expectation) wait(work, capacity, until float64) {
+	e.WorkAhead += work
+	e.Start = max(e.Start, min(e.Start+work/capacity, until))
+}
--- a/shortage/shortage_test.go
+++ b/shortage/shortage_test.go
@@ -11,13 +11,22 @@
 	return b.Expect(Request{Priority: priority, CriticalPath: 1000, Objective: 3000, Limit: 9000})
 }
 
+// inTimeStep and lateStep return waiting steps with an objective of a minute.
+func inTimeStep(priority int, work float64) Step {
+	return Step{Priority: priority, Work: work, Deadline: 60_000, Worthless: 180_000}
+}
+
+func lateStep(priority int, work float64) Step {
+	return Step{Priority: priority, IsLate: true, Work: work, Worthless: 120_000}
+}
+
 // Guards against a rejection because of work that the order puts behind the job.
 func TestOnlyWorkAheadDelaysAJob(t *testing.T) {
 	c := qt.New(t)
 	b := Backlog{Capacity: 1000}
-	b.Add(2, false, 1e9, "", 0)
-	b.Add(1, true, 1e9, "", 0)
-	b.Add(1, false, 1e6, "", 0)
+	b.Add(inTimeStep(2, 1e9))
+	b.Add(lateStep(1, 1e9))
+	b.Add(inTimeStep(1, 1e6))
 	e := expect(&b, 1)
 	c.Assert(e.Start, qt.Equals, 1000.0)
 	c.Assert(e.WorkAhead, qt.Equals, 1e6)
@@ -29,25 +38,42 @@
 func TestLateJobComesBehindMoreUrgentWork(t *testing.T) {
 	c := qt.New(t)
 	b := Backlog{Capacity: 1000}
-	b.Add(1, false, 4e6, "", 0)
-	b.Add(2, false, 1e9, "", 0)
-	b.Add(1, true, 1e9, "", 0)
+	b.Add(inTimeStep(1, 4e6))
+	b.Add(inTimeStep(2, 1e9))
+	b.Add(lateStep(1, 1e9))
 	c.Assert(expect(&b, 1).Start, qt.Equals, 4000.0)
 	c.Assert(expect(&b, 1).Excess <= 0, qt.IsTrue)
-	b.Add(0, true, 5e6, "", 0)
+	b.Add(lateStep(0, 5e6))
 	e := expect(&b, 1)
 	c.Assert(e.Start, qt.Equals, 9000.0)
 	c.Assert(e.Excess, qt.Equals, 1000.0)
 	c.Assert(expect(&b, 0).Start, qt.Equals, 0.0)
 }
 
+// Guards against a rejection because of a flood of urgent work that is worthless before the job is, and
+// because of a flood of the job's own queue.
+func TestWorkCountsOnlyUntilItIsWorthless(t *testing.T) {
+	c := qt.New(t)
+	b := Backlog{Capacity: 1000}
+	b.Add(Step{Priority: 0, Work: 1e9, Deadline: 1000, Worthless: 4000})
+	b.Add(Step{Priority: 1, Work: 1e9, Deadline: 3000, Worthless: 9000})
+	e := expect(&b, 1)
+	c.Assert(e.Start, qt.Equals, 4000.0)
+	c.Assert(e.Excess <= 0, qt.IsTrue)
+}
+
 // Guards against rejections of an account's jobs because of another account that sends more than its
 // share, and against its own backlog being left out.
 func TestBacklogOfOneAccountDoesNotDelayOthers(t *testing.T) {
 	c := qt.New(t)
 	b := Backlog{Capacity: 1000}
-	b.Add(1, false, 1e9, "hot", 1)
-	b.Add(1, false, 1e6, "calm", 1)
+	ofAccount := func(account string, work float64) Step {
+		step := inTimeStep(1, work)
+		step.Account, step.Weight = account, 1
+		return step
+	}
+	b.Add(ofAccount("hot", 1e9))
+	b.Add(ofAccount("calm", 1e6))
 	request := Request{Priority: 1, CriticalPath: 1000, Objective: 3000, Limit: 9000, Weight: 1}
 	for _, account := range []string{"calm", "idle"} {
 		request.Account = account
@@ -62,7 +88,7 @@
 // Guards against a rejection where the workers of the pool are not known.
 func TestUnknownCapacityRejectsNothing(t *testing.T) {
 	b := Backlog{}
-	b.Add(0, false, 1e9, "", 0)
+	b.Add(inTimeStep(0, 1e9))
 	qt.Assert(t, expect(&b, 0).Excess <= 0, qt.IsTrue)
 }
 
@@ -72,7 +98,7 @@
 	pass := func() {
 		b.Reset()
 		for i := range 100 {
-			b.Add(i%3, i%2 == 0, 1e6, "a", 1)
+			b.Add(Step{Priority: i % 3, IsLate: i%2 == 0, Work: 1e6, Account: "a", Weight: 1})
 		}
 		expect(&b, 1)
 	}
