--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -39,6 +39,7 @@
 
 // readySteps returns the ready steps in the order in which they are placed, the most urgent first: by
 // lateness, the account's share, priority, rank and deadline. The rank is 0 unless the order follows costs.
+// Lateness comes first, so that no job that can be in time goes behind one that cannot.
 func (s *Scheduler) readySteps() []*readyStep {
 	for id := range s.staleJobs {
 		s.refreshReady(id)
@@ -46,7 +47,7 @@
 	clear(s.staleJobs)
 	s.ordered = slices.DeleteFunc(s.ordered, func(r *readyStep) bool { return r.isStale })
 	for _, r := range s.ordered {
-		r.lateness = r.latenessAt(s.wallMillis)
+		r.lateness, r.rank = r.latenessAt(s.wallMillis), 0
 	}
 	s.updateShares()
 	if s.ordersByCost() {
