dispatch: a resumed run in the model of workers never takes less than a restore

Each run of a task draws its work anew, so that a checkpoint could hold more than the next run needed, and the simulated time went backwards.

--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -333,9 +333,14 @@
 	return time.Duration(float64(step.EstimateMillis)*(0.5+c.rng.Float64())*c.slowdownOf(ref.Job)) * time.Millisecond
 }
 
-// duration returns how long the run takes on its worker.
+// duration returns how long the run takes on its worker. Each run of a task may draw other work than the
+// one whose checkpoint it resumes from.
 func (r *fakeRun) duration() time.Duration {
-	return time.Duration(float64(r.work-r.doneBefore) / r.worker.speed)
+	left := r.work - r.doneBefore
+	if r.doneBefore != 0 {
+		left = max(left, restoreTime)
+	}
+	return time.Duration(float64(left) / r.worker.speed)
 }
 
 // checkpoint returns the checkpoint of a run that ends: the work done so far, empty if it has none.
