--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -63,7 +64,7 @@
 			continue
 		}
 		timeLeft := r.deadlineMillis - s.wallMillis
-		s.loadOf(r.job.Queue.Pool).backlog.Add(shortage.Step{Priority: r.priority, IsLate: r.lateness != inTime,
+		s.loadOf(cmp.Or(r.pool, r.job.Queue.Pool)).backlog.Add(shortage.Step{Priority: r.priority, IsLate: r.lateness != inTime,
 			Work:     float64(len(r.waiting)) * float64(r.step.Allocation().MilliCPU) * float64(min(max(r.step.EstimateMillis, 0), maxCountedMillis)),
 			Deadline: float64(timeLeft), Worthless: float64(timeLeft + (worthlessFactor-1)*(r.deadlineMillis-r.releasedMillis)),
 			Account: r.job.Account, Weight: s.accountWeight(r.job.Account)})
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -39,7 +39,7 @@
 	var d shortage.Demand
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		perTask := float64(step.Allocation().MilliCPU) * float64(step.EstimateMillis)
+		perTask := float64(step.Allocation().MilliCPU) * float64(max(step.EstimateMillis, 0))
 		d.Total += perTask * float64(step.Count)
 		switch {
 		case i == ready:
--- a/shortage/order.go
+++ b/shortage/order.go
@@ -24,7 +24,7 @@
 // queue, 0 if it is not known.
 func (d Demand) Rank(mean float64) float64 {
 	if d.Total <= 0 {
-		return 0
+		return 1 // not known
 	}
 	rank := min(max(d.Left/d.Total, 0), 1)
 	if small := smallFraction * mean; d.Total < small {
@@ -42,8 +42,18 @@
 	count float64
 }
 
+// maxCountedWork limits what one job counts, as a multiple of the mean, once minJobs are counted. Without it, one
+// job with an absurd estimate would make all others small, and small jobs go by their size.
+const (
+	maxCountedWork = 8
+	minJobs        = 16
+)
+
 // Add adds a job.
 func (m *MeanWork) Add(work float64) {
+	if m.count >= minJobs {
+		work = min(work, maxCountedWork*m.Mean)
+	}
 	m.count = min(m.count+1, meanWindow)
 	m.Mean += (work - m.Mean) / m.count
 }
