--- a/dispatch/share_load_test.go
+++ b/dispatch/share_load_test.go
@@ -44,10 +44,14 @@
 	load              float64
 }
 
+// scale is the size of the pool relative to the one for which the rates and weights are.
+func (l accountLoad) scale() float64 { return float64(l.workers) / 350 }
+
 // run returns the mean value of the jobs of each account that were submitted between from and until.
 func (l accountLoad) run(from, until time.Duration) []float64 {
 	k := newCluster(l.seed, faults{failedRun: 0.02})
-	k.sched.record = func(Decision) {} // a trace of this length takes much memory
+	k.sched.record = func(Decision) {}  // a trace of this length takes much memory
+	k.sched.settings.OrderByCost = true // with and without accounts, so that only the shares differ
 	config := &job.Config{Version: 1, Pools: []job.Pool{{Name: "desk"}}, HasAccounts: l.hasAccounts}
 	classes := wideLoad()
 	for _, class := range classes {
@@ -57,7 +61,7 @@
 	for i, w := range accountWeights {
 		total += w
 		if l.hasAccounts {
-			config.Accounts = append(config.Accounts, job.Account{Name: fmt.Sprint("account", i), Weight: w})
+			config.Accounts = append(config.Accounts, job.Account{Name: fmt.Sprint("account", i), Weight: w * l.scale()})
 		}
 	}
 	k.state.Apply(job.Op{Config: config})
@@ -74,7 +78,7 @@
 	var arrive func(account, class int)
 	arrive = func(account, class int) {
 		c := classes[class]
-		rate := c.perSecond * accountWeights[account] / total * l.load * float64(l.workers) / 350
+		rate := c.perSecond * accountWeights[account] / total * l.load * l.scale()
 		if account == l.hot && k.now >= l.hotFrom && k.now < l.hotUntil {
 			rate *= l.factor
 		}
