cell: tests wait for the data folder of a VM to open before they bound its event loop

Cause: the event loop of a VM runs once its data folder is open, which took up to 2.6 s beside load (logs of failed runs), and onEventLoop allowed one second for both. The bound of a second for the running loop stays.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -113,6 +113,7 @@
 	cancel  context.CancelFunc
 	stopped chan struct{}
 	dir     string
+	opened  sync.Once // done when the event loop has run
 }
 
 func freeAddress(c *qt.C) string {
@@ -172,7 +173,7 @@
 	listener, err := net.Listen("tcp", address)
 	tc.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	tn := &testNode{n, cancel, make(chan struct{}), dir}
+	tn := &testNode{node: n, cancel: cancel, stopped: make(chan struct{}), dir: dir}
 	tc.nodes[address] = tn
 	go func() {
 		defer close(tn.stopped)
@@ -190,12 +191,17 @@
 	delete(tc.nodes, address)
 }
 
-// onEventLoop runs fn on a keeper's event loop.
+// onEventLoop runs fn on a keeper's event loop, which must take less than a second once the loop runs. It
+// does not run before the data folder is open, which took up to 2.6 s on a busy disk.
 func (tc *testCell) onEventLoop(address string, fn func(h *replicaHost)) {
-	n := tc.nodes[address].node
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	tc.c.Assert(n.eventLoop.Call(ctx, func() { fn(n.host) }), qt.IsNil)
+	tn := tc.nodes[address]
+	call := func(limit time.Duration, fn func()) {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		tc.c.Assert(tn.node.eventLoop.Call(ctx, fn), qt.IsNil)
+	}
+	tn.opened.Do(func() { call(20*time.Second, func() {}) })
+	call(time.Second, func() { fn(tn.node.host) })
 }
 
 func forwardCall(n *Node, call Call) Reply {
