dispatch: learned speeds stay within their bounds when they are centered

Cause: centerSpeeds divided the speeds by their mean without a limit. When the fast half of a pool had left, a fast worker that remained got a class beyond the array of slots, which ended the leader with "index out of range [21] with length 19" (TestCenteredSpeedsStayWithinBounds). Change: the speeds are limited after centering, too.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -76,6 +76,11 @@
 func (v *workerSpeed) add(difference float64) {
 	v.runs++
 	v.log.add(v.log.value+difference, speedPriorRuns, speedMinGain, maxSpeedStep)
+	v.limit()
+}
+
+// limit keeps the speed between minSpeed and maxSpeed.
+func (v *workerSpeed) limit() {
 	v.log.value = min(max(v.log.value, math.Log(minSpeed)), math.Log(maxSpeed))
 }
 
@@ -250,6 +255,7 @@
 			continue
 		}
 		w.speed.log.value -= means[w.info.Pool].sum / float64(means[w.info.Pool].n)
+		w.speed.limit()
 		if w.speed.isNotable() && !w.speed.isLogged {
 			w.speed.isLogged = true
 			s.record(Decision{Event: "worker speed learned", Worker: w.info.Name, Reason: fmt.Sprintf("%.2f of the mean of its pool, from %d runs", s.speedOf(w), w.speed.runs)})
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -301,3 +301,27 @@
 	qt.Assert(t, slices.Equal(trace(true, false), without), qt.IsTrue)
 	qt.Assert(t, slices.Equal(trace(true, true), without), qt.IsFalse)
 }
+
+// Guards against the end of the leader by a speed outside the classes: when the fast half of a pool has
+// left, the mean of the others is low, and centering moves a fast worker that remains beyond maxSpeed.
+func TestCenteredSpeedsStayWithinBounds(t *testing.T) {
+	for _, sign := range []int{1, -1} {
+		k := newCluster(1, faults{})
+		k.orderByCost = true
+		k.sched.settings = k.settings()
+		k.setUp(7, false)
+		k.run(2 * time.Second)
+		workers := k.sched.sortedWorkers()
+		for i, w := range workers {
+			if w.setClass(-7 * sign); i == 0 {
+				w.setClass(7 * sign)
+			}
+		}
+		k.sched.centerSpeeds()
+		var slots slotsByClass
+		for _, w := range workers {
+			qt.Check(t, w.speed.class() >= -maxSpeedClass && w.speed.class() <= maxSpeedClass, qt.IsTrue, qt.Commentf("class %d", w.speed.class()))
+			slots.add(w, 1)
+		}
+	}
+}
