cell: changes of leader between release and sending; late claims; short calls

Causes and changes, each shown by a test that failed before: - A held call was sent to the leader of its release, even if that was lost before the call woke up, and then counted as unanswered by the next leader for ever, which made an idle VM doubt its leader before each call. It now goes to the present leader, or is held again. - A late reply to a Join of a former leader replaced the known one. - A call with 100 to 400 ms left that got no reply lost the leader, although the design gives a leader 400 ms. The leader is now doubted and asked first.

--- a/cell/forward.go
+++ b/cell/forward.go
@@ -80,9 +80,9 @@
 	if c.Kind == SignOff {
 		timeout = callTimeout // the leader stops the worker's runs before it replies
 	}
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sentAt := time.Now()
 	var err error
 	if leader == n.settings.Address {
 		if reply = n.callLocal(ctx, c); reply.Code == Interrupted {
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -51,16 +51,17 @@
 	released int // calls given out by release that have not ended
 }
 
-// arrive decides about a call. isUnclear says that an earlier attempt may have been executed: such
-// a call is held beyond the bounds, since only a leader can settle its outcome; there are never
-// more of them than were in flight when the leader was lost. id names the call if it is held.
-func (h *heldCalls) arrive(now, deadline time.Time, bytes int, hasLeader, isUnclear bool) (id uint64, d holdDecision) {
+// arrive decides about a call. isExempt says that the bounds do not apply: an earlier attempt may
+// have been executed, so that only a leader can settle its outcome, or the leader was lost when the
+// call had just been released. There are never more such calls than were in flight when the leader
+// was lost. id names the call if it is held.
+func (h *heldCalls) arrive(now, deadline time.Time, bytes int, hasLeader, isExempt bool) (id uint64, d holdDecision) {
 	switch {
 	case hasLeader && len(h.calls) == 0 && now.Before(deadline):
 		return 0, sendNow
 	case deadline.Sub(now) < minRemaining:
 		return 0, rejectDeadline
-	case !isUnclear && (len(h.calls) >= maxHeldCalls || h.bytes+bytes > maxHeldBytes):
+	case !isExempt && (len(h.calls) >= maxHeldCalls || h.bytes+bytes > maxHeldBytes):
 		return 0, rejectFull
 	}
 	h.lastID++
--- a/cell/leaderfinder.go
+++ b/cell/leaderfinder.go
@@ -79,11 +79,12 @@
 }
 
 // replied records a reply of a VM which names the leader, or an empty string if it knows of none.
-// It is ignored unless it is from the believed leader, or no leader is known.
+// It is ignored unless it is from the believed leader, or no leader is known, or the leader is
+// doubted: a late reply may be from a former leader that still believes in its lease.
 func (f *leaderFinder) replied(now time.Time, address, leader string) {
 	f.failures[address] = 0
 	switch {
-	case leader == address:
+	case leader == address && (f.leader == "" || f.leader == address || f.isDoubted):
 		f.named, f.isDoubted = "", false
 		f.unansweredSince, f.leaderRepliedAt = now, now
 		if f.leader != address {
@@ -129,6 +130,14 @@
 	f.failed(now, address)
 }
 
+// endedEarly records that a message sent to a VM at a time got no reply, but had less than
+// attemptTimeout to wait for it. The leader is asked before more calls are sent to it.
+func (f *leaderFinder) endedEarly(address string, sentAt time.Time) {
+	if f.leader == address && !f.leaderRepliedAt.After(sentAt) {
+		f.isDoubted = true
+	}
+}
+
 // failed records that a VM cannot be reached or has lost the leadership.
 func (f *leaderFinder) failed(now time.Time, address string) {
 	f.failures[address]++
--- a/cell/leaderfinder_test.go
+++ b/cell/leaderfinder_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -210,3 +211,33 @@
 	c.Assert(f.usableLeader(at(60)), qt.Equals, "")
 	c.Assert(f.isProbeUseful(), qt.IsTrue)
 }
+
+// Guards against the late reply of a former leader that was frozen with its clock and still believes in
+// its lease: the calls that it would get then have an unclear outcome.
+func TestLateReplyOfFormerLeaderDoesNotReplaceTheLeader(t *testing.T) {
+	c := qt.New(t)
+	f := newFinderWithLeader()
+	f.timedOut(at(500), "k1", at(100))
+	f.replied(at(600), "k2", "k2")
+	f.replied(at(700), "k1", "k1") // to the probe that was sent at 100
+	c.Assert(f.usableLeader(at(700)), qt.Equals, "k2")
+}
+
+// Guards against a leader that is given up because a call that had less than attemptTimeout left got
+// no reply: it is asked first.
+func TestCallWithLittleTimeDoesNotLoseTheLeader(t *testing.T) {
+	c := qt.New(t)
+	f := newFinderWithLeader()
+	f.callSent(at(1000))
+	recordFailure(f, at(1120), "k1", at(1000), context.DeadlineExceeded)
+	f.callReturned("k1")
+	c.Assert(f.leader, qt.Equals, "k1")
+	c.Assert(f.usableLeader(at(1120)), qt.Equals, "")
+	address, _ := f.nextProbe()
+	c.Assert(address, qt.Equals, "k1")
+	f.replied(at(1150), "k1", "k1")
+	c.Assert(f.usableLeader(at(1150)), qt.Equals, "k1")
+	f.callSent(at(2000))
+	recordFailure(f, at(2400), "k1", at(2000), context.DeadlineExceeded)
+	c.Assert(f.leader, qt.Equals, "")
+}
--- a/cell/router.go
+++ b/cell/router.go
@@ -45,6 +45,19 @@
 // acquire waits until the call may be sent to a leader. rejection, if not empty, is why the call
 // must be answered without one.
 func (r *callRouter) acquire(ctx context.Context, c Call, deadline time.Time, isUnclear bool) (p permit, rejection string) {
+	isExempt := isUnclear
+	for {
+		p, rejection = r.tryAcquire(ctx, c, deadline, isExempt)
+		if p.leader != "" || rejection != "" {
+			return p, rejection
+		}
+		isExempt = true // its place was given up when it was released
+	}
+}
+
+// tryAcquire is acquire, but returns a permit without a leader if the leader was lost after the call
+// was released.
+func (r *callRouter) tryAcquire(ctx context.Context, c Call, deadline time.Time, isExempt bool) (p permit, rejection string) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return permit{}, reasonGone
 	}
@@ -52,7 +65,7 @@
 	r.mu.Lock()
 	now := time.Now()
 	leader := r.finder.usableLeader(now)
-	id, decision := r.held.arrive(now, deadline, callBytes(c), leader != "", isUnclear)
+	id, decision := r.held.arrive(now, deadline, callBytes(c), leader != "", isExempt)
 	switch decision {
 	case sendNow:
 		p.leader = leader
@@ -68,7 +81,8 @@
 	r.waiting[id] = released
 	r.dispatch(now)
 	r.mu.Unlock()
-	defer func() { r.metrics.recordHeld(c.Kind, time.Since(now)) }()
+	heldFrom := now
+	defer func() { r.metrics.recordHeld(c.Kind, time.Since(heldFrom)) }()
 	timer := time.NewTimer(time.Until(holdUntil(deadline)))
 	defer timer.Stop()
 	select {
@@ -91,8 +105,14 @@
 			return permit{}, rejectDeadline.String()
 		}
 	}
+	now = time.Now()
+	if p.leader = r.finder.usableLeader(now); p.leader == "" {
+		r.held.ended()
+		r.dispatch(now)
+		return permit{}, ""
+	}
 	p.wasHeld = true
-	r.countSent(time.Now(), p)
+	r.countSent(now, p)
 	return p, ""
 }
 
@@ -193,6 +213,8 @@
 	case errors.As(err, &remote), errors.Is(err, context.Canceled):
 	case isTimeout(err) && now.Sub(sentAt) < doubtedProbeTimeout:
 		// The caller's time ended; the VM had too little time to reply.
+	case isTimeout(err) && now.Sub(sentAt) < attemptTimeout:
+		f.endedEarly(address, sentAt)
 	case isTimeout(err):
 		f.timedOut(now, address, sentAt)
 	default:
