cell: 404 after an unclear attempt is an unclear outcome

Change: settle treats NoQueue like Unauthenticated. New rows of TestRefusalAfterAnUnclearAttemptIsUnclear failed before.

--- a/cell/account.go
+++ b/cell/account.go
@@ -37,10 +37,11 @@
 }
 
 // settle returns the reply to a call of which an earlier attempt may have been executed. A leader that
-// finds no valid key has not looked whether the job is stored, so that its refusal does not say that
-// the call had no effect: the key may have been withdrawn between the attempts.
+// finds no valid key or no route has not looked whether the job is stored, so that its refusal does not
+// say that the call had no effect: the key or the route may have been withdrawn between the attempts.
 func settle(c Call, reply Reply, uncertain bool) Reply {
-	if uncertain && reply.Code == Unauthenticated && (c.Kind == SubmitJob || c.Kind == CancelJob) {
+	hasNotLooked := reply.Code == Unauthenticated || reply.Code == NoQueue
+	if uncertain && hasNotLooked && (c.Kind == SubmitJob || c.Kind == CancelJob) {
 		return Reply{Code: Unknown}
 	}
 	return reply
--- a/cell/account_fault_test.go
+++ b/cell/account_fault_test.go
@@ -264,6 +264,10 @@
 		{CancelJob, true, Unauthenticated, Unknown},
 		{QueryJob, true, Unauthenticated, Unauthenticated},
 		{SubmitJob, false, Unauthenticated, Unauthenticated},
+		{SubmitJob, true, NoQueue, Unknown}, // the route may have been removed between the attempts
+		{CancelJob, true, NoQueue, Unknown},
+		{QueryJob, true, NoQueue, NoQueue},
+		{SubmitJob, false, NoQueue, NoQueue},
 		{SubmitJob, true, OK, OK},
 		{SubmitJob, true, LimitExceeded, LimitExceeded}, // the leader has looked for the job first
 		{CancelJob, true, NoJob, NoJob},
