dispatch: stale backlog, idle pools, removed queues and rare grants

Causes and changes, each shown by a test that failed before: - The backlog counted before the accounts were removed rejected jobs when they were configured again, until the next pass. A pass that does not count forgets it. - A job whose estimate exceeds the limit of its objective was rejected in an idle pool, with a time to return that could not help. Only waiting work rejects jobs. - Mean work, ratios and loads of removed queues and pools were kept for ever. - With a rate of grants near 0 the number of wanted tasks overflowed, which gives different orders of workers on x86-64 and arm64.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -114,7 +114,8 @@
 	e := l.backlog.Expect(shortage.Request{Priority: q.Priority, CriticalPath: float64(criticalPathMillis(spec, 0)), Objective: float64(objective),
 		Limit: limit, Account: account, Weight: s.accountWeight(account)})
 	a := Admission{ExpectedStart: millis(e.Start), Limit: millis(limit), WorkAhead: e.WorkAhead / 1e6}
-	if e.Excess > 0 {
+	// Estimates are off by half, so a job that can start at once is not rejected because of its own.
+	if e.Excess > 0 && e.Start > 0 {
 		a.Rejected, a.RetryAfter = true, min(max(millis(e.Excess), retryAfterMin), retryAfterMax)
 		a.Reason = fmt.Sprintf("expected to start in %.1f s and to end after its result is worth nothing, in %.1f s", a.ExpectedStart.Seconds(), a.Limit.Seconds())
 	}
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -114,3 +114,26 @@
 	k.run(k.now + 100*time.Millisecond)
 	qt.Assert(t, k.admit("drafts", newStep(1, 1000, 1000)).Rejected, qt.IsFalse)
 }
+
+// Guards against jobs that are rejected by a backlog which was counted before the configuration had no
+// accounts for some time.
+func TestBacklogOfAnEarlierConfigurationRejectsNothing(t *testing.T) {
+	c := qt.New(t)
+	k := newFullPool(12)
+	step := newStep(1, 1000, 1000)
+	c.Assert(k.admit("drafts", step).Rejected, qt.IsTrue)
+	k.sched.settings.OrderByCost = false // as after the removal of all accounts
+	k.sched.runPass()
+	k.sched.settings.OrderByCost = true
+	c.Assert(k.admit("drafts", step).Rejected, qt.IsFalse)
+}
+
+// Guards against the rejection of a job in an idle pool because its estimate alone exceeds the time in
+// which its result has a value: estimates are off by half, and nothing goes before the job.
+func TestIdlePoolRejectsNoEstimate(t *testing.T) {
+	k := newFullPool(0)
+	drafts := k.state.Config().Queues[0]
+	drafts.SlackFactor, drafts.TargetMillis = 0, 1000
+	spec := job.Spec{Steps: []job.Step{newStep(1, 1000, 3500)}}
+	qt.Assert(t, k.sched.Admit(&drafts, &spec, "").Rejected, qt.IsFalse)
+}
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -50,6 +50,7 @@
 		r.lateness, r.rank = r.latenessAt(s.wallMillis), 0
 	}
 	s.updateShares()
+	s.knowsLoads = false // unless updateLoads counts them
 	if s.ordersByCost() {
 		s.updateLoads(s.ordered)
 		s.rankSteps(s.ordered)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -247,6 +247,7 @@
 	if now >= s.nextJobDeletion {
 		s.nextJobDeletion = now + jobDeletionInterval
 		s.deleteExpiredJobs()
+		s.dropRemovedQueues()
 		s.centerSpeeds()
 	}
 	if s.needsPass && now >= s.nextPass {
@@ -274,6 +275,18 @@
 	maps.DeleteFunc(s.startedJobs, func(id job.ID, _ bool) bool { return s.openJob(id) == nil })
 }
 
+// dropRemovedQueues drops what is known about the load of queues and pools that the configuration no
+// longer has.
+func (s *Scheduler) dropRemovedQueues() {
+	names := map[string]bool{}
+	for i := range s.state.Config().Queues {
+		names[s.state.Config().Queues[i].Name] = true
+	}
+	maps.DeleteFunc(s.meanWork, func(name string, _ *shortage.MeanWork) bool { return !names[name] })
+	maps.DeleteFunc(s.speeds.ratios, func(name string, _ *average) bool { return !names[name] })
+	maps.DeleteFunc(s.loads, func(name string, _ *poolLoad) bool { return s.state.Pool(name) == nil })
+}
+
 // openJob returns a job that has not ended, or nil.
 func (s *Scheduler) openJob(id job.ID) *job.Job {
 	if j := s.state.Job(id); j != nil && j.Outcome == job.Open {
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -325,3 +325,26 @@
 		}
 	}
 }
+
+// Guards against soft state that grows with each queue and pool that a configuration has ever had.
+func TestStateOfRemovedQueuesAndPoolsIsDropped(t *testing.T) {
+	k := newCluster(1, faults{})
+	k.orderByCost = true
+	k.sched.settings = k.settings()
+	k.setUp(2, false)
+	k.run(2 * time.Second)
+	s := k.sched
+	for _, name := range []string{"drafts", "removed"} {
+		s.meanWorkOf(name).Add(1)
+		s.speeds.learnRatio(name, 1000, 0.5)
+	}
+	s.loadOf("removed")
+	s.nextJobDeletion = 0
+	s.Tick(k.now, k.wallMillis())
+	qt.Check(t, s.meanWork["removed"], qt.IsNil)
+	qt.Check(t, s.speeds.ratios["removed"], qt.IsNil)
+	qt.Check(t, s.loads["removed"], qt.IsNil)
+	qt.Check(t, s.meanWork["drafts"], qt.IsNotNil)
+	qt.Check(t, s.speeds.ratios["drafts"], qt.IsNotNil)
+	qt.Check(t, s.loads["desk"], qt.IsNotNil)
+}
--- a/dispatch/speedrange.go
+++ b/dispatch/speedrange.go
@@ -132,7 +132,8 @@
 	for _, candidate := range candidates {
 		slots.add(candidate.w, candidate.slots)
 	}
-	return s.speedFor(r, &slots, int(askedCapacityFactor*float64(len(r.waiting))/rate))
+	wanted := min(askedCapacityFactor*float64(len(r.waiting))/rate, math.MaxInt32) // the rate may be 0
+	return s.speedFor(r, &slots, int(wanted))
 }
 
 // tasksThatFit returns how many tasks that need an amount of resources fit into a capacity.
--- a/dispatch/speedrange_test.go
+++ b/dispatch/speedrange_test.go
@@ -113,3 +113,14 @@
 		qt.Assert(t, v.class(), qt.Equals, class)
 	}
 }
+
+// Guards against a number of wanted tasks that overflows after hundreds of answers without a grant: its
+// value would depend on the machine, and a gang would prefer workers as if any set had enough slots.
+func TestSpeedToAskWithHardlyAnyGrants(t *testing.T) {
+	k, r := newStepOfUnevenWorkers(t, 3, true, time.Minute)
+	candidates := k.sched.workersWithSlots(r, k.sched.schedulable["desk"], 1)
+	qt.Assert(t, candidates, qt.HasLen, 9)
+	for _, rate := range []float64{1e-30, 0} {
+		qt.Check(t, k.sched.speedToAsk(r, candidates, rate), qt.Equals, speedRange{prefersSlow: true})
+	}
+}
