cell: a failed leader that is still named delays the next one less

Cause: the wait for a silent VM grew to 400 ms with the third unanswered message, where the design says 200 ms. While followers still named the failed leader, the next one was found up to 420 ms after its election, in a model of elections 400 to 800 ms after the failure.

--- a/cell/leaderfinder.go
+++ b/cell/leaderfinder.go
@@ -8,8 +8,10 @@
 const (
 	// probeTimeout is how long the finder waits for the reply to a probe before it asks another VM.
 	probeTimeout = 400 * time.Millisecond
-	// doubtedProbeTimeout replaces probeTimeout for a VM that left the last message unanswered; it
-	// doubles with each further one. A round trip to the other region takes 24 ms.
+	// doubtedProbeTimeout replaces probeTimeout for a VM that left the last message unanswered, and
+	// twice as much for one that left more unanswered. A round trip to the other region takes 24 ms, and
+	// a later reply is used too. Longer waits for a failed leader that followers still name would delay
+	// the probe that finds the next one.
 	doubtedProbeTimeout = 100 * time.Millisecond
 	// probeInterval is the pause between probes after a VM has replied that it knows of no leader, and
 	// after each VM was asked once. It bounds the load on keepers during an election.
@@ -175,11 +177,13 @@
 }
 
 func (f *leaderFinder) timeoutFor(address string) time.Duration {
-	n := f.failures[address]
-	if n == 0 {
+	switch f.failures[address] {
+	case 0:
 		return probeTimeout
+	case 1:
+		return doubtedProbeTimeout
 	}
-	return min(doubtedProbeTimeout<<min(n-1, 4), probeTimeout)
+	return 2 * doubtedProbeTimeout
 }
 
 // pause returns how long to wait before the next probe.
--- a/cell/leaderfinder_test.go
+++ b/cell/leaderfinder_test.go
@@ -241,3 +241,24 @@
 	recordFailure(f, at(2400), "k1", at(2000), context.DeadlineExceeded)
 	c.Assert(f.leader, qt.Equals, "")
 }
+
+// Guards against probes that wait longer and longer for a silent leader that followers still name, while
+// the next leader is elected: at most one such probe, of 200 ms, precedes the one to the next leader.
+func TestSilentLeaderThatIsStillNamedDelaysTheNextOneLittle(t *testing.T) {
+	c := qt.New(t)
+	for elected := 400; elected <= 800; elected += 10 { // followers name k1 until their election timeout
+		f := newFinderWithLeader()
+		f.timedOut(at(400), "k1", at(1))
+		foundAt, _ := findModel(c, f, 400, 5000, func(ms int, address string) keeperModel {
+			switch {
+			case address == "k1":
+				return keeperModel{isSilent: true}
+			case ms < elected:
+				return keeperModel{names: "k1"}
+			}
+			return keeperModel{names: "k2"}
+		})
+		const bound = 200 + 5 + 25 // a probe of k1, replies of all within 1 ms each, and a pause
+		c.Check(foundAt-elected <= bound, qt.IsTrue, qt.Commentf("elected at %d ms, found at %d ms", elected, foundAt))
+	}
+}
