--- a/cell/router.go
+++ b/cell/router.go
@@ -39,8 +39,9 @@
 	wasHeld, isCounted bool
 }
 
-// Reasons for which a call was rejected without a leader, beside those of holdDecision.
-const reasonGone = "gone" // the caller no longer waits
+// reasonGone is the reason for the rejection of a call whose caller no longer waits, beside the reasons
+// that holdDecision names.
+const reasonGone = "gone"
 
 // acquire waits until the call may be sent to a leader. rejection, if not empty, is why the call
 // must be answered without one.
--- a/shortage/admission.go
+++ b/shortage/admission.go
@@ -8,8 +8,8 @@
 //
 // All estimates are optimistic, since a rejection must be right: they leave out running work, work that
 // will arrive later, fragmentation of the workers, and memory, and they count waiting work only until it
-// becomes worthless. An estimate without the last rejected jobs in a flood of which a fifth to a third would
-// have been served, and less value was earned than without admission.
+// becomes worthless. Without the last of these, a fifth to a third of the jobs that were rejected in a flood
+// would have been served, and less value was earned than without admission.
 type Backlog struct {
 	Capacity float64 // thousandths of a core of all workers of the pool
 	total    waiting
--- a/shortage/order.go
+++ b/shortage/order.go
@@ -1,6 +1,6 @@
 // Package shortage decides what happens when a pool has too little capacity for its jobs: in which
 // order waiting steps get capacity, and which jobs are rejected at admission. It has no input,
-// output, clock or state of its own.
+// output or clock.
 package shortage
 
 // smallFraction is the work below which a job counts as small, as a fraction of the mean work of the jobs
