--- a/cell/leaderfinder.go
+++ b/cell/leaderfinder.go
@@ -8,8 +8,10 @@
 const (
 	// probeTimeout is how long the finder waits for the reply to a probe before it asks another VM.
 	probeTimeout = 400 * time.Millisecond
-	// doubtedProbeTimeout replaces probeTimeout for a VM that left the last message unanswered; it
-	// doubles with each further one. A round trip to the other region takes 24 ms.
+	// doubtedProbeTimeout replaces probeTimeout for a VM that left the last message unanswered, and
+	// twice as much for one that left more unanswered. A round trip to the other region takes 24 ms, and
+	// a later reply is used too. Longer waits for a failed leader that followers still name would delay
+	// the probe that finds the next one.
 	doubtedProbeTimeout = 100 * time.Millisecond
 	// probeInterval is the pause between probes after a VM has replied that it knows of no leader, and
 	// after each VM was asked once. It bounds the load on keepers during an election.
@@ -79,11 +81,12 @@
 }
 
 // replied records a reply of a VM which names the leader, or an empty string if it knows of none.
-// It is ignored unless it is from the believed leader, or no leader is known.
+// It is ignored unless it is from the believed leader, or no leader is known, or the leader is
+// doubted: a late reply may be from a former leader that still believes in its lease.
 func (f *leaderFinder) replied(now time.Time, address, leader string) {
 	f.failures[address] = 0
 	switch {
-	case leader == address:
+	case leader == address && (f.leader == "" || f.leader == address || f.isDoubted):
 		f.named, f.isDoubted = "", false
 		f.unansweredSince, f.leaderRepliedAt = now, now
 		if f.leader != address {
@@ -129,6 +132,14 @@
 	f.failed(now, address)
 }
 
+// endedEarly records that a message sent to a VM at a time got no reply, but had less than
+// attemptTimeout to wait for it. The leader is asked before more calls are sent to it.
+func (f *leaderFinder) endedEarly(address string, sentAt time.Time) {
+	if f.leader == address && !f.leaderRepliedAt.After(sentAt) {
+		f.isDoubted = true
+	}
+}
+
 // failed records that a VM cannot be reached or has lost the leadership.
 func (f *leaderFinder) failed(now time.Time, address string) {
 	f.failures[address]++
@@ -166,11 +177,13 @@
 }
 
 func (f *leaderFinder) timeoutFor(address string) time.Duration {
-	n := f.failures[address]
-	if n == 0 {
+	switch f.failures[address] {
+	case 0:
 		return probeTimeout
+	case 1:
+		return doubtedProbeTimeout
 	}
-	return min(doubtedProbeTimeout<<min(n-1, 4), probeTimeout)
+	return 2 * doubtedProbeTimeout
 }
 
 // pause returns how long to wait before the next probe.
--- a/cell/leaderfinder_test.go
+++ b/cell/leaderfinder_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -210,3 +211,54 @@
 	c.Assert(f.usableLeader(at(60)), qt.Equals, "")
 	c.Assert(f.isProbeUseful(), qt.IsTrue)
 }
+
+// Guards against the late reply of a former leader that was frozen with its clock and still believes in
+// its lease: the calls that it would get then have an unclear outcome.
+func TestLateReplyOfFormerLeaderDoesNotReplaceTheLeader(t *testing.T) {
+	c := qt.New(t)
+	f := newFinderWithLeader()
+	f.timedOut(at(500), "k1", at(100))
+	f.replied(at(600), "k2", "k2")
+	f.replied(at(700), "k1", "k1") // to the probe that was sent at 100
+	c.Assert(f.usableLeader(at(700)), qt.Equals, "k2")
+}
+
+// Guards against a leader that is given up because a call that had less than attemptTimeout left got
+// no reply: it is asked first.
+func TestCallWithLittleTimeDoesNotLoseTheLeader(t *testing.T) {
+	c := qt.New(t)
+	f := newFinderWithLeader()
+	f.callSent(at(1000))
+	recordFailure(f, at(1120), "k1", at(1000), context.DeadlineExceeded)
+	f.callReturned("k1")
+	c.Assert(f.leader, qt.Equals, "k1")
+	c.Assert(f.usableLeader(at(1120)), qt.Equals, "")
+	address, _ := f.nextProbe()
+	c.Assert(address, qt.Equals, "k1")
+	f.replied(at(1150), "k1", "k1")
+	c.Assert(f.usableLeader(at(1150)), qt.Equals, "k1")
+	f.callSent(at(2000))
+	recordFailure(f, at(2400), "k1", at(2000), context.DeadlineExceeded)
+	c.Assert(f.leader, qt.Equals, "")
+}
+
+// Guards against probes that wait longer and longer for a silent leader that followers still name, while
+// the next leader is elected: at most one such probe, of 200 ms, precedes the one to the next leader.
+func TestSilentLeaderThatIsStillNamedDelaysTheNextOneLittle(t *testing.T) {
+	c := qt.New(t)
+	for elected := 400; elected <= 800; elected += 10 { // followers name k1 until their election timeout
+		f := newFinderWithLeader()
+		f.timedOut(at(400), "k1", at(1))
+		foundAt, _ := findModel(c, f, 400, 5000, func(ms int, address string) keeperModel {
+			switch {
+			case address == "k1":
+				return keeperModel{isSilent: true}
+			case ms < elected:
+				return keeperModel{names: "k1"}
+			}
+			return keeperModel{names: "k2"}
+		})
+		const bound = 200 + 5 + 25 // a probe of k1, replies of all within 1 ms each, and a pause
+		c.Check(foundAt-elected <= bound, qt.IsTrue, qt.Commentf("elected at %d ms, found at %d ms", elected, foundAt))
+	}
+}
