dispatch: large tasks get room below a limit; checkpoints of adopted runs are used

A task that needs much of its account's limit waited for ever beside a stream of smaller tasks, since room below the limit was held for gangs only. Room was also held for gangs larger than their pool. The decision "limit reached" had no inputs if only the room kept for urgent work blocked the step.

The work that a checkpoint holds was measured from the time at which the claim was added. For runs that an earlier leader started, unclaimed runs and runs moved to the next incarnation of a worker that is too late, so their checkpoints were ignored if they ended within RestoreTime after that.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -9,10 +9,10 @@
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
-// limitHoldDelay is how long the limit of an account may block a gang, or half of the time in which
-// the gang has to start to be in time if that is shorter, before later steps of the account leave it
-// the room that becomes free below the limit. Without this a stream of small tasks keeps a gang
-// waiting for ever. Without the delay the account would be below its limit for gangs that start soon
+// limitHoldDelay is how long the limit of an account may block a step, or half of the time in which
+// the step has to start to be in time if that is shorter, before later steps of the account leave it
+// the room that becomes free below the limit. Without this a stream of small tasks keeps a gang, or a
+// task that needs more than they do, waiting for ever. Without the delay the account would be below its limit for gangs that start soon
 // anyway, since most runs last for seconds.
 const limitHoldDelay = time.Second
 
@@ -42,7 +42,7 @@
 	name  string
 	used  amounts // by all claims of its jobs
 	limit amounts // fairshare.NoLimit in a dimension without one
-	// held is kept below the limit in the current pass for gangs that the limit has blocked for long.
+	// held is kept below the limit in the current pass for steps that the limit has blocked for long.
 	held amounts
 	// urgentUsed is the part of used that claims of the most urgent queues take, and urgentPeak what they
 	// took at most, decayed since.
@@ -180,26 +180,27 @@
 		return
 	}
 	a.isBlocking = true
-	n := int64(1)
-	if r.step.Gang {
-		n = int64(len(r.waiting))
-	}
 	s.record(Decision{Event: "limit reached", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref},
-		Reason: a.limitReason(amountsOf(r.step.Allocation()), n), ConfigVersion: s.state.Config().Version})
+		Reason: a.limitReason(amountsOf(r.step.Allocation()), s.limitFor(r), r.tasksStartedTogether()), ConfigVersion: s.state.Config().Version})
 }
 
-// holdLimit keeps the room that a waiting gang needs below the limit of its account free of later
-// steps of the account, if the limit has blocked the gang for long; see limitHoldDelay. It does nothing for a
-// gang that the limit does not allow at all, since it was lowered, or whose result is worth nothing.
+// holdLimit keeps the room that a waiting gang, or one task of another step, needs below the limit of its
+// account free of later steps of the account, if the limit has blocked the step for long; see
+// limitHoldDelay. Room is held for any number of gangs, but for a single task only if none is held yet: later
+// steps should be able to use what is left. It does nothing for a step that the limit does not allow at all,
+// since it was lowered, that is larger than its pool, or whose result is worth nothing.
 func (s *Scheduler) holdLimit(r *readyStep) {
-	if !r.step.Gang || r.blockedSince == 0 || r.lateness == worthless {
+	if r.blockedSince == 0 || r.lateness == worthless || !r.step.Gang && r.account.held != (amounts{}) {
+		return
+	}
+	if load := s.loads[r.pool]; load != nil && !load.fits(r.step) {
 		return
 	}
 	startWithin := r.deadlineMillis - r.releasedMillis - int64(estimateFactor*float64(r.remainingMillis))
 	if s.now-r.blockedSince < min(limitHoldDelay, time.Duration(max(startWithin, 0))*time.Millisecond/2) {
 		return
 	}
-	each, none, n := amountsOf(r.step.Allocation()), amounts{}, int64(len(r.waiting))
+	each, none, n := amountsOf(r.step.Allocation()), amounts{}, r.tasksStartedTogether()
 	if fairshare.FirstExceeded(none[:], each[:], r.account.limit[:], n) >= 0 {
 		return
 	}
@@ -210,16 +211,25 @@
 	}
 }
 
-// limitReason says in which dimension n tasks would bring the account above its limit.
-func (a *accountUsage) limitReason(each amounts, n int64) string {
+// tasksStartedTogether returns how many waiting tasks of a step have to start at once.
+func (r *readyStep) tasksStartedTogether() int64 {
+	if r.step.Gang {
+		return int64(len(r.waiting))
+	}
+	return 1
+}
+
+// limitReason says in which dimension n tasks would bring the account above a limit, which is its own or,
+// for less urgent work, its own less the room that is kept for urgent work.
+func (a *accountUsage) limitReason(each, limit amounts, n int64) string {
 	used := a.used
 	used.add(a.held)
-	d := fairshare.FirstExceeded(used[:], each[:], a.limit[:], n)
+	d := fairshare.FirstExceeded(used[:], each[:], limit[:], n)
 	if d < 0 {
 		return "account " + a.name
 	}
-	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for gangs; %d tasks of %d each wait",
-		a.name, a.used[d], a.limit[d], dimensions[d], a.held[d], n, each[d])
+	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for waiting tasks, %d kept for urgent work; %d tasks of %d each wait",
+		a.name, a.used[d], a.limit[d], dimensions[d], a.held[d], a.limit[d]-limit[d], n, each[d])
 }
 
 // ExceedsLimit reports whether a job can never run because one of its tasks or gangs alone needs more
--- a/dispatch/account_test.go
+++ b/dispatch/account_test.go
@@ -152,23 +152,72 @@
 	c.Assert(k.sched.accounts["a"].used, qt.Equals, before)
 }
 
+// streamSmallTasks submits a job of account a with one task of one core every 125 ms, which together take
+// about four cores.
+func (c *cluster) streamSmallTasks(id job.ID) {
+	c.submitFor("a", id, newStep(1, 1000, 500))
+	c.schedule(125*time.Millisecond, func() { c.streamSmallTasks(id + 1) })
+}
+
 // Guards against a gang that waits for ever while small tasks of its account take all that becomes
 // free below the limit.
 func TestGangBlockedByLimitStartsDespiteSmallTasks(t *testing.T) {
 	c := qt.New(t)
 	k := newLimitedCluster(false)
-	var stream func(id job.ID)
-	stream = func(id job.ID) {
-		k.submitFor("a", id, newStep(1, 1000, 500))
-		k.schedule(125*time.Millisecond, func() { stream(id + 1) }) // takes about all four cores
-	}
-	stream(100)
+	k.streamSmallTasks(100)
 	k.run(k.now + time.Second)
 	k.submitFor("a", 2, newGang(4, 1000, 800)) // can be in time if it starts within 1.6 s
 	k.run(k.now + 1700*time.Millisecond)       // half of that, until the runs at that time have ended
 	c.Assert(strings.Count(k.traceOf("0000000000000002.0"), "placed"), qt.Equals, 4, qt.Commentf("%s", k.traceOf("limit")))
 }
 
+// Guards against a task that waits for ever while smaller tasks of its account take all that becomes
+// free below the limit.
+func TestTaskBlockedByLimitStartsDespiteSmallTasks(t *testing.T) {
+	c := qt.New(t)
+	k := newLimitedCluster(false)
+	k.streamSmallTasks(100)
+	k.run(k.now + time.Second)
+	k.submitFor("a", 2, newStep(1, 4000, 800)) // can be in time if it starts within 1.6 s
+	k.run(k.now + 1700*time.Millisecond)
+	c.Assert(strings.Count(k.traceOf("0000000000000002.0"), "placed"), qt.Equals, 1, qt.Commentf("%s", k.traceOf("limit")))
+}
+
+// Guards against an account that starts nothing because the room below its limit is held for a gang that
+// is larger than its pool.
+func TestNoRoomIsHeldForGangLargerThanPool(t *testing.T) {
+	c := qt.New(t)
+	k := newLimitedCluster(false)
+	k.setLimits(map[string]job.Resources{"a": {MilliCPU: 40_000}, "b": {}})
+	k.submitFor("a", 1, newStep(1, 1000, 2000))
+	k.run(k.now + 300*time.Millisecond)
+	k.submitFor("a", 2, newGang(5, 8000, 60_000)) // the limit blocks it while job 1 runs; the workers have 32 cores
+	k.run(k.now + 4*time.Second)
+	k.submitFor("a", 3, newGang(2, 1000, 61_000))
+	k.run(k.now + 2*time.Second)
+	c.Assert(k.runsOf(2), qt.Equals, 0)
+	c.Assert(k.runsOf(3), qt.Equals, 2)
+}
+
+// Guards against a decision "limit reached" without its inputs when only the room that is kept for urgent
+// work blocks a step.
+func TestReasonNamesRoomKeptForUrgentWork(t *testing.T) {
+	c := qt.New(t)
+	k := newLimitedCluster(false)
+	k.state.Apply(job.Op{Config: &job.Config{Version: 100, Pools: []job.Pool{{Name: "desk"}}, HasAccounts: true,
+		Queues: []job.Queue{
+			{Name: "lookups", Host: "h", Prefix: "/l/", Pool: "desk", MaxAttempts: 4, SlackFactor: 4, TargetMillis: 3000},
+			{Name: "drafts", Host: "h", Prefix: "/d/", Pool: "desk", Priority: 2, MaxAttempts: 4, SlackFactor: 4, TargetMillis: 3000},
+		},
+		Accounts: []job.Account{{Name: "a", Weight: 1, Limit: job.Resources{MilliCPU: 10_000}}}}})
+	k.propose([]job.Op{{Submit: &job.Submit{ID: 1, Queue: "lookups", Account: "a", Spec: job.Spec{Steps: []job.Step{newStep(2, 1000, 300)}}, AcceptedMillis: k.wallMillis()}}})
+	k.run(k.now + time.Second)
+	k.submitFor("a", 2, newStep(10, 1000, 30_000))
+	k.run(k.now + 300*time.Millisecond)
+	c.Assert(k.runsOf(2) < 10, qt.IsTrue)
+	c.Assert(k.traceOf("limit reached"), qt.Contains, "10000 milli_cpu", qt.Commentf("%s", k.traceOf("limit")))
+}
+
 // Guards against a log line for each pass in which a limit blocks steps, and against none when it
 // blocks steps again.
 func TestReachedLimitIsRecordedOnce(t *testing.T) {
--- a/dispatch/accountheadroom.go
+++ b/dispatch/accountheadroom.go
@@ -28,10 +28,7 @@
 	if s.isUrgent(r.job.Queue.Priority, r.pool) {
 		return limit
 	}
-	each, n := amountsOf(r.step.Allocation()), int64(1)
-	if r.step.Gang {
-		n = int64(len(r.waiting))
-	}
+	each, n := amountsOf(r.step.Allocation()), r.tasksStartedTogether()
 	for d, bound := range a.limit {
 		if bound <= 0 || n*each[d] > bound-int64(maxAccountHeadroom*float64(bound)) {
 			continue
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -125,18 +125,25 @@
 func (l *poolLoad) misfit(spec *job.Spec) string {
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		need := step.Allocation()
-		if !l.largest.Fits(need) {
+		switch {
+		case !l.largest.Fits(step.Allocation()):
 			return fmt.Sprintf("a task of step %d needs more than any worker of the pool has", i)
-		}
-		n := int64(step.Count)
-		if step.Gang && !l.total.Fits(job.Resources{MilliCPU: n * need.MilliCPU, MemoryMB: n * need.MemoryMB, GPU: n * need.GPU}) {
+		case !l.fits(step):
 			return fmt.Sprintf("the %d tasks of step %d, which run together, need more than all workers of the pool have", step.Count, i)
 		}
 	}
 	return ""
 }
 
+// fits reports whether the workers of a pool have enough for one task of a step, or for all of a gang.
+func (l *poolLoad) fits(step *job.Step) bool {
+	need, n := step.Allocation(), int64(step.Count)
+	if !l.largest.Fits(need) {
+		return false
+	}
+	return !step.Gang || l.total.Fits(job.Resources{MilliCPU: n * need.MilliCPU, MemoryMB: n * need.MemoryMB, GPU: n * need.GPU})
+}
+
 // hasLongRunningStep reports whether a job has a step that runs until the job is cancelled.
 func hasLongRunningStep(spec *job.Spec) bool {
 	for i := range spec.Steps {
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -61,6 +61,9 @@
 	// copy of the order may still be in flight.
 	startMayArrive bool
 	hasResumed     bool // the newest start carried a checkpoint
+	// isStartUnknown is set if the run may have started before the claim was added, so that startedAt and
+	// hasResumed say nothing about it.
+	isStartUnknown bool
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
 	isListed  bool
@@ -153,6 +156,7 @@
 	}
 	s.record(Decision{Event: "unclaimed run found", Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.info.Name})
 	c := s.addClaim(key.task, key.run, w, step, claimRunning)
+	c.isStartUnknown = true
 	s.sendStop(c, "not claimed")
 	return c
 }
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -193,7 +193,7 @@
 		origin.movedClaims++ // before the claim is removed from it
 		s.removeClaim(c)
 		moved := s.addClaim(c.key.task, c.key.run, successor, c.step, claimSent)
-		moved.checkpoint, moved.startMayArrive, moved.origin = c.checkpoint, true, origin
+		moved.checkpoint, moved.startMayArrive, moved.origin, moved.isStartUnknown = c.checkpoint, true, origin, true
 		s.sendStop(moved, "its worker started again under its name")
 	}
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -21,6 +21,9 @@
 		placed = s.placeTasks(r)
 		r.waiting = waiting[placed:]
 	}
+	if placed > 0 {
+		r.blockedSince = 0
+	}
 	if len(r.waiting) == 0 {
 		return
 	}
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -33,7 +33,8 @@
 	failures int
 	account  *accountUsage // of its job
 	usage    *poolUsage    // of the account in the pool
-	// blockedSince is when the limit of the account first blocked the step, 0 if it does not.
+	// blockedSince is when the limit of the account first blocked the step since a task of it was placed,
+	// 0 if it has not.
 	blockedSince time.Duration
 }
 
--- a/dispatch/savedwork.go
+++ b/dispatch/savedwork.go
@@ -12,6 +12,10 @@
 	if c.step == nil || c.step.Gang || !c.step.Checkpointing || !s.ordersByCost() {
 		return
 	}
+	if c.isStartUnknown {
+		delete(s.savedWork, c.key.task)
+		return
+	}
 	ran := s.now - c.startedAt
 	if !c.hasResumed {
 		s.savedWork[c.key.task] = ran
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -194,7 +194,7 @@
 		s.proposeEnd(ref, run, job.EndLost, "")
 		return
 	}
-	s.addClaim(ref, run, w, step, claimAdopted)
+	s.addClaim(ref, run, w, step, claimAdopted).isStartUnknown = true
 }
 
 // advanceClock sets the time to that of an event. Otherwise a reply that arrives between two
