cell: a refusal after an unclear attempt is unclear if the configuration may have caused it

A submit whose reply was lost, and whose job was stored, was answered 409 or 404 if a new version had moved its key to another account or removed its route before the repetition. Both say that the job is not stored. The answer is now 504, as for a key that was withdrawn.

The property of account limits under faults also draws jobs of a more urgent queue, for which room below the limit is kept.

--- a/cell/account.go
+++ b/cell/account.go
@@ -36,11 +36,16 @@
 	return j.Account == "" || account == "" || j.Account == account
 }
 
-// settle returns the reply to a call of which an earlier attempt may have been executed. A leader that
-// finds no valid key has not looked whether the job is stored, so that its refusal does not say that
-// the call had no effect: the key may have been withdrawn between the attempts.
+// settle returns the reply to a call of which an earlier attempt may have been executed. A refusal does not
+// show that the call had no effect if the configuration may have changed between the attempts: a leader that
+// finds no valid key or no route has not looked for the job, and an id that is in use may be that of the
+// call's own job, whose route or account was that of the call before.
 func settle(c Call, reply Reply, uncertain bool) Reply {
-	if uncertain && reply.Code == Unauthenticated && (c.Kind == SubmitJob || c.Kind == CancelJob) {
+	if !uncertain || c.Kind != SubmitJob && c.Kind != CancelJob {
+		return reply
+	}
+	switch reply.Code {
+	case Unauthenticated, NoQueue, Conflict:
 		return Reply{Code: Unknown}
 	}
 	return reply
--- a/cell/account_fault_test.go
+++ b/cell/account_fault_test.go
@@ -251,8 +251,31 @@
 	tc.c.Check(forwardCall(keeper, stateCall(2).withKey("new")).Code, qt.Equals, OK)
 }
 
-// Guards against the same for other kinds and codes: only a refusal that did not look for the job is
-// replaced.
+// Guards against a caller that is told that its id is in use, which means that its job is not stored, after an
+// attempt whose reply was lost and that stored the job before its key became that of another account.
+func TestKeyMovedAfterALostReply(t *testing.T) {
+	tc := newTestCell(t, 3)
+	entry := tc.start(freeAddress(tc.c), "", false)
+	keeper := tc.nodes[tc.seeds[0]].node
+	p := tc.partitionable(entry)
+	put := func(version int64, keys map[string][]string) {
+		tc.c.Helper()
+		tc.c.Assert(forwardCall(keeper, Call{Kind: PutConfig, Config: accountConfig(version, keys)}).Code, qt.Equals, OK)
+	}
+	put(1, map[string][]string{"ada": {"moved"}})
+	tc.c.Assert(forwardCall(entry, submitCall("/d/"+job.ID(1).String()).withKey("moved")).Code, qt.Equals, OK)
+	p.set(false, true)
+	code := make(chan Code, 1)
+	go func() { code <- forwardCall(entry, submitCall("/d/"+job.ID(2).String()).withKey("moved")).Code }()
+	tc.eventually("job stored", func() bool { return forwardCall(keeper, stateCall(2).withKey("moved")).Code == OK })
+	put(2, map[string][]string{"ada": {"kept"}, "bob": {"moved"}})
+	p.heal()
+	tc.c.Check(<-code, qt.Equals, Unknown)
+	tc.c.Check(forwardCall(keeper, stateCall(2).withKey("kept")).Code, qt.Equals, OK)
+}
+
+// Guards against the same for other kinds and codes: only a refusal that a changed configuration may have
+// caused after the job was stored is replaced.
 func TestRefusalAfterAnUnclearAttemptIsUnclear(t *testing.T) {
 	for _, test := range []struct {
 		kind      Kind
@@ -262,6 +285,11 @@
 	}{
 		{SubmitJob, true, Unauthenticated, Unknown},
 		{CancelJob, true, Unauthenticated, Unknown},
+		{SubmitJob, true, NoQueue, Unknown},
+		{CancelJob, true, NoQueue, Unknown},
+		{SubmitJob, true, Conflict, Unknown},
+		{SubmitJob, false, Conflict, Conflict},
+		{QueryJob, true, NoQueue, NoQueue},
 		{QueryJob, true, Unauthenticated, Unauthenticated},
 		{SubmitJob, false, Unauthenticated, Unauthenticated},
 		{SubmitJob, true, OK, OK},
--- a/dispatch/account_model_test.go
+++ b/dispatch/account_model_test.go
@@ -29,7 +29,22 @@
 
 // submitFor proposes a job of an account.
 func (c *cluster) submitFor(account string, id job.ID, steps ...job.Step) {
-	c.propose([]job.Op{{Submit: &job.Submit{ID: id, Queue: "drafts", Spec: job.Spec{Steps: steps}, AcceptedMillis: c.wallMillis(), Account: account}}})
+	c.submitTo("drafts", account, id, steps...)
+}
+
+// addUrgentQueue adds the queue "urgent", which is more urgent than "drafts".
+func (c *cluster) addUrgentQueue() {
+	config := *c.state.Config()
+	urgent := config.Queues[0]
+	urgent.Name, urgent.Prefix, urgent.Priority = "urgent", "/u/", urgent.Priority-1
+	config.Queues = append(config.Queues[:1:1], urgent)
+	config.Version++
+	c.state.Apply(job.Op{Config: &config})
+}
+
+// submitTo proposes a job of an account to a queue.
+func (c *cluster) submitTo(queue, account string, id job.ID, steps ...job.Step) {
+	c.propose([]job.Op{{Submit: &job.Submit{ID: id, Queue: queue, Spec: job.Spec{Steps: steps}, AcceptedMillis: c.wallMillis(), Account: account}}})
 }
 
 // noteClaims notes when claims are proposed.
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -149,6 +149,9 @@
 		workers := rapid.IntRange(2, 6).Draw(rt, "workers")
 		c.setUp(workers, rapid.Bool().Draw(rt, "advised"))
 		widest := job.Resources{MilliCPU: 4 * 2600, MemoryMB: 500} // what the widest of the gangs below need
+		if rapid.Bool().Draw(rt, "has urgent queue") {
+			c.addUrgentQueue()
+		}
 		c.setLimits(map[string]job.Resources{"a": widest, "b": {MemoryMB: 700}})
 		c.run(2 * time.Second)
 		for i := range rapid.IntRange(4, 12).Draw(rt, "jobs") {
@@ -157,7 +160,8 @@
 			second := newStep(2, 1000, 500)
 			second.DependsOn = []int{0}
 			account := rapid.SampledFrom([]string{"a", "a", "b", ""}).Draw(rt, "account")
-			c.schedule(time.Duration(i)*250*time.Millisecond, func() { c.submitFor(account, job.ID(i+1), first, second) })
+			queue := rapid.SampledFrom([]string{"drafts", c.state.Config().Queues[len(c.state.Config().Queues)-1].Name}).Draw(rt, "queue")
+			c.schedule(time.Duration(i)*250*time.Millisecond, func() { c.submitTo(queue, account, job.ID(i+1), first, second) })
 		}
 		for range rapid.IntRange(0, 4).Draw(rt, "changes") {
 			at := time.Duration(rapid.IntRange(0, 9000).Draw(rt, "changed at")) * time.Millisecond
