dispatch: the checkpoint of a lost run is used

The work in a checkpoint was taken for that of the run before if the worker was lost, so that the next run started anew if that earlier run had saved less than a restore takes.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -269,6 +269,9 @@
 
 // loseClaim proposes to end a claim as lost, and releases it.
 func (s *Scheduler) loseClaim(c *claim) {
+	if c.checkpoint != "" {
+		delete(s.savedWork, c.key.task) // when the run ended is not known
+	}
 	s.proposeEnd(c.key.task, c.key.run, job.EndLost, c.checkpoint)
 	s.removeClaim(c)
 }
