dispatch: a gang below a limit gets room from steps with earlier deadlines

Room below the limit of an account was held from later steps only. Beside a stream of jobs with shorter objectives a gang with a longer one was never first, became late after 7.4 s in the test, and then waited for ever. Without a limit the same gang starts, since reservations hold from all steps. The effect on a full load has not been measured.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -44,6 +44,10 @@
 	limit amounts // fairshare.NoLimit in a dimension without one
 	// held is kept below the limit in the current pass for steps that the limit has blocked for long.
 	held amounts
+	// longestBlocked is the step for which holdForLongestBlocked keeps longestBlockedNeed in the current
+	// pass, nil if there is none.
+	longestBlocked     *readyStep
+	longestBlockedNeed amounts
 	// urgentUsed is the part of used that claims of the most urgent queues take, and urgentPeak what they
 	// took at most, decayed since.
 	urgentUsed    amounts
@@ -135,7 +139,7 @@
 		if version != s.accountsVersion {
 			s.configureAccount(a)
 		}
-		a.held, a.blockedInPass = amounts{}, 0
+		a.held, a.longestBlocked, a.blockedInPass = amounts{}, nil, 0
 		a.updateUrgentPeak(s.now.Seconds())
 	}
 	s.accountsVersion = version
@@ -154,7 +158,7 @@
 func (s *Scheduler) startsWithinLimit(r *readyStep) int {
 	a, n := r.account, int64(len(r.waiting))
 	used, each, limit := a.used, amountsOf(r.step.Allocation()), s.limitFor(r)
-	used.add(a.held)
+	used.add(a.heldFrom(r))
 	fitting := fairshare.Fitting(used[:], each[:], limit[:], n)
 	if r.step.Gang && fitting < n {
 		return 0
@@ -181,34 +185,72 @@
 	}
 	a.isBlocking = true
 	s.record(Decision{Event: "limit reached", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref},
-		Reason: a.limitReason(amountsOf(r.step.Allocation()), s.limitFor(r), r.tasksStartedTogether()), ConfigVersion: s.state.Config().Version})
+		Reason: a.limitReason(amountsOf(r.step.Allocation()), s.limitFor(r), a.heldFrom(r), r.tasksStartedTogether()), ConfigVersion: s.state.Config().Version})
+}
+
+// holdForLongestBlocked selects for each account the step that can be in time and that the limit has blocked
+// for the longest time, if that is long; see limitHoldDelay. All other steps of the account that are not more
+// urgent by their queue leave it its room in this pass. Jobs with shorter objectives come before it in the
+// order, so that a stream of them would keep it waiting until it is late.
+func (s *Scheduler) holdForLongestBlocked(ready []*readyStep) {
+	for _, r := range ready {
+		if r.blockedSince == 0 || r.lateness != inTime {
+			continue
+		}
+		a := r.account
+		if need, isDue := s.roomToHold(r); isDue && (a.longestBlocked == nil || r.blockedSince < a.longestBlocked.blockedSince) {
+			a.longestBlocked, a.longestBlockedNeed = r, need
+		}
+	}
+}
+
+// heldFrom returns what is kept below the limit of an account from a step.
+func (a *accountUsage) heldFrom(r *readyStep) amounts {
+	held := a.held
+	if a.longestBlocked != nil && a.longestBlocked != r && r.priority >= a.longestBlocked.priority {
+		held.add(a.longestBlockedNeed)
+	}
+	return held
 }
 
 // holdLimit keeps the room that a waiting gang, or one task of another step, needs below the limit of its
 // account free of later steps of the account, if the limit has blocked the step for long; see
 // limitHoldDelay. Room is held for any number of gangs, but for a single task only if none is held yet: later
-// steps should be able to use what is left. It does nothing for a step that the limit does not allow at all,
-// since it was lowered, that is larger than its pool, or whose result is worth nothing.
+// steps should be able to use what is left.
 func (s *Scheduler) holdLimit(r *readyStep) {
-	if r.blockedSince == 0 || r.lateness == worthless || !r.step.Gang && r.account.held != (amounts{}) {
+	a := r.account
+	if r == a.longestBlocked || !r.step.Gang && (a.longestBlocked != nil || a.held != (amounts{})) {
 		return
 	}
+	if need, isDue := s.roomToHold(r); isDue {
+		a.held.add(need)
+	}
+}
+
+// roomToHold returns the room below the limit that a step needs, and whether the limit has blocked the step
+// for so long that it is held. It is not for a step that the limit does not allow at all, since it was
+// lowered, that is larger than its pool, or whose result is worth nothing.
+func (s *Scheduler) roomToHold(r *readyStep) (need amounts, isDue bool) {
+	if r.blockedSince == 0 || r.lateness == worthless {
+		return need, false
+	}
 	if load := s.loads[r.pool]; load != nil && !load.fits(r.step) {
-		return
+		return need, false
 	}
 	startWithin := r.deadlineMillis - r.releasedMillis - int64(estimateFactor*float64(r.remainingMillis))
 	if s.now-r.blockedSince < min(limitHoldDelay, time.Duration(max(startWithin, 0))*time.Millisecond/2) {
-		return
+		return need, false
 	}
 	each, none, n := amountsOf(r.step.Allocation()), amounts{}, r.tasksStartedTogether()
 	if fairshare.FirstExceeded(none[:], each[:], r.account.limit[:], n) >= 0 {
-		return
+		return need, false
 	}
 	for d, limit := range r.account.limit {
 		if limit != fairshare.NoLimit {
-			r.account.held[d] += each[d] * n
+			need[d] = each[d] * n
 		}
 	}
+	return need, true
 }
 
 // tasksStartedTogether returns how many waiting tasks of a step have to start at once.
@@ -221,15 +263,15 @@
 
 // limitReason says in which dimension n tasks would bring the account above a limit, which is its own or,
 // for less urgent work, its own less the room that is kept for urgent work.
-func (a *accountUsage) limitReason(each, limit amounts, n int64) string {
+func (a *accountUsage) limitReason(each, limit, held amounts, n int64) string {
 	used := a.used
-	used.add(a.held)
+	used.add(held)
 	d := fairshare.FirstExceeded(used[:], each[:], limit[:], n)
 	if d < 0 {
 		return "account " + a.name
 	}
 	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for waiting tasks, %d kept for urgent work; %d tasks of %d each wait",
-		a.name, a.used[d], a.limit[d], dimensions[d], a.held[d], a.limit[d]-limit[d], n, each[d])
+		a.name, a.used[d], a.limit[d], dimensions[d], held[d], a.limit[d]-limit[d], n, each[d])
 }
 
 // ExceedsLimit reports whether a job can never run because one of its tasks or gangs alone needs more
--- a/dispatch/account_test.go
+++ b/dispatch/account_test.go
@@ -183,6 +183,18 @@
 	c.Assert(strings.Count(k.traceOf("0000000000000002.0"), "placed"), qt.Equals, 1, qt.Commentf("%s", k.traceOf("limit")))
 }
 
+// Guards against a gang that waits until it is late, and then for ever, while small tasks of its account with
+// earlier deadlines take all that becomes free below the limit.
+func TestGangBlockedByLimitStartsDespiteEarlierDeadlines(t *testing.T) {
+	c := qt.New(t)
+	k := newLimitedCluster(false)
+	k.streamSmallTasks(100)
+	k.run(k.now + time.Second)
+	k.submitFor("a", 2, newGang(4, 1000, 8000)) // can be in time if it starts within 7.4 s
+	k.run(k.now + 3*time.Second)
+	c.Assert(strings.Count(k.traceOf("0000000000000002.0"), "placed"), qt.Equals, 4, qt.Commentf("%s", k.traceOf("limit")))
+}
+
 // Guards against an account that starts nothing because the room below its limit is held for a gang that
 // is larger than its pool.
 func TestNoRoomIsHeldForGangLargerThanPool(t *testing.T) {
--- a/dispatch/pass.go
+++ b/dispatch/pass.go
@@ -34,6 +34,7 @@
 	s.releaseStaleReservations()
 	s.collectWorkers()
 	s.computeHeadroom()
+	s.holdForLongestBlocked(ready)
 	limit := s.examined + maxExaminedPerPass
 	for _, r := range ready {
 		if s.examined >= limit {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,6 +23,9 @@
 	}
 	if placed > 0 {
 		r.blockedSince = 0
+		if r.account.longestBlocked == r {
+			r.account.longestBlocked = nil // what it needs counts as used now
+		}
 	}
 	if len(r.waiting) == 0 {
 		return
