--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -36,12 +36,8 @@
 func (s *Scheduler) placeTasks(r *readyStep) int {
 	eligible := s.eligibleWorkers(r)
 	var placed []*worker
-	if limit := s.startLimit(r); limit > 0 {
-		placed = s.selectWorkers(r, eligible)
-		placed = placed[:min(len(placed), limit)]
-	}
-	if r.step.Gang && len(placed) < len(r.waiting) {
-		placed = nil
+	if s.startLimit(r) > 0 {
+		placed = s.startable(r, s.selectWorkers(r, eligible))
 	}
 	if len(placed) > 0 {
 		r.failures = 0
@@ -65,6 +61,16 @@
 	return len(placed)
 }
 
+// startable returns the workers of the waiting tasks of a step that may start now, of those that were selected: none
+// for a gang that does not fit as a whole.
+func (s *Scheduler) startable(r *readyStep, selected []*worker) []*worker {
+	placed := selected[:min(len(selected), s.startLimit(r))]
+	if r.step.Gang && len(placed) < len(r.waiting) {
+		return nil
+	}
+	return placed
+}
+
 // expectsCapacity reports whether idle processors remain after the earlier steps of the pass, and
 // subtracts what this step needs. It is true for every gang, since the grants of the advisor do
 // not change and can be requested early; the needs of a gang are subtracted only while it has a
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -54,14 +54,17 @@
 		s.updateLoads(s.ordered)
 		s.rankSteps(s.ordered)
 	}
-	slices.SortFunc(s.ordered, func(a, b *readyStep) int {
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), boolToInt(a.overShare)-boolToInt(b.overShare), cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.deadlineMillis, b.deadlineMillis), cmp.Compare(a.ref.Job, b.ref.Job),
-			cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
-	})
+	slices.SortFunc(s.ordered, comparePlacement)
 	return s.ordered
 }
 
+// comparePlacement orders steps of which the lateness, the share and the rank are those of one pass.
+func comparePlacement(a, b *readyStep) int {
+	return cmp.Or(cmp.Compare(a.lateness, b.lateness), boolToInt(a.overShare)-boolToInt(b.overShare), cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.deadlineMillis, b.deadlineMillis), cmp.Compare(a.ref.Job, b.ref.Job),
+		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
+}
+
 // refreshReady rebuilds the list of a job's ready steps.
 func (s *Scheduler) refreshReady(id job.ID) {
 	previous := s.ready[id]
