cell: a call that explains a job

The leader serves ExplainJob like the other calls of callers, with the same check of the key and of the job. It is a read, so an attempt without a reply does not make it unclear.

--- a/cell/account_test.go
+++ b/cell/account_test.go
@@ -45,8 +45,10 @@
 // callerKinds are calls about job 1 of each kind that callers make.
 func callerKinds(prefix string) map[string]Call {
 	path := prefix + job.ID(1).String()
+	explain := submitCall(prefix)
+	explain.Kind = ExplainJob
 	return map[string]Call{"submit": submitCall(path), "state": {Kind: QueryJob, Host: "h", Path: path}, "cancel": {Kind: CancelJob, Host: "h", Path: path},
-		"pending": {Kind: CountPending, Host: "h", Path: prefix}, "pending by path": {Kind: QueryJob, Host: "h", Path: prefix}}
+		"pending": {Kind: CountPending, Host: "h", Path: prefix}, "pending by path": {Kind: QueryJob, Host: "h", Path: prefix}, "explain": explain}
 }
 
 // soloHost is the host of a keeper without a group: what it proposes is committed at once.
--- a/cell/forward.go
+++ b/cell/forward.go
@@ -18,7 +18,7 @@
 // unclear if an attempt got no reply.
 func (k Kind) changesState() bool {
 	switch k {
-	case QueryJob, CountPending, GetConfig:
+	case QueryJob, CountPending, GetConfig, ExplainJob:
 		return false
 	}
 	return true
--- a/cell/forward_test.go
+++ b/cell/forward_test.go
@@ -413,7 +413,7 @@
 // changes nothing.
 func TestReadsAreNeverUnclear(t *testing.T) {
 	runOutage(t, func(int64, string) keeperModel { return keeperModel{isSilent: true} }, func(o *outage) {
-		for kind, want := range map[Kind]Code{QueryJob: Unavailable, CountPending: Unavailable, GetConfig: Unavailable, SubmitJob: Unknown,
+		for kind, want := range map[Kind]Code{QueryJob: Unavailable, CountPending: Unavailable, GetConfig: Unavailable, ExplainJob: Unavailable, SubmitJob: Unknown,
 			CancelJob: Unknown, Announce: Unknown, PutConfig: Unknown, SignOff: Unknown} {
 			o.node.router.probeReplied("k1", false, JoinReply{Leader: "k1"})
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"github.com/oleanderchute/oleanderchute/dispatch"
 	"github.com/oleanderchute/oleanderchute/job"
 )
 
@@ -17,11 +18,13 @@
 	GetConfig
 	Announce
 	SignOff
+	// ExplainJob asks what would happen to a job if it were submitted now.
+	ExplainJob
 )
 
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string {
-	names := [...]string{"none", "submit", "state", "cancel", "pending", "put_config", "get_config", "announce", "sign_off"}
+	names := [...]string{"none", "submit", "state", "cancel", "pending", "put_config", "get_config", "announce", "sign_off", "explain"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -103,7 +106,8 @@
 	// PublicAddress is the address at which the leader itself accepts announcements.
 	PublicAddress string `cbor:"7,keyasint,omitempty"`
 	// RetryAfterMillis is when a rejected caller should try again, 0 if the leader does not know.
-	RetryAfterMillis int64 `cbor:"8,keyasint,omitempty"`
+	RetryAfterMillis int64                 `cbor:"8,keyasint,omitempty"`
+	Explanation      *dispatch.Explanation `cbor:"9,keyasint,omitempty"`
 }
 
 // JoinArgs announces a VM to the leader.
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/oleanderchute/oleanderchute/dispatch"
@@ -19,7 +20,7 @@
 		return
 	}
 	switch c.Kind {
-	case SubmitJob, QueryJob, CancelJob, CountPending:
+	case SubmitJob, QueryJob, CancelJob, CountPending, ExplainJob:
 		h.serveCaller(c, done)
 	case PutConfig:
 		h.putConfig(c.Config, done)
@@ -59,6 +60,10 @@
 		done(Reply{Code: OK, Pending: h.scheduler.PendingJobs(q.Name)})
 		return
 	}
+	if c.Kind == ExplainJob {
+		h.explain(q, account, c, done)
+		return
+	}
 	id, err := job.ParseID(strings.TrimPrefix(c.Path, q.Prefix))
 	if err != nil {
 		done(Reply{Code: BadCall, Text: err.Error()})
@@ -101,11 +106,7 @@
 		s.reply(j)
 		return
 	}
-	if c.Spec == nil {
-		done(Reply{Code: BadCall, Text: "the job is missing"})
-		return
-	}
-	if err := c.Spec.Check(); err != nil {
+	if err := checkSpec(c); err != nil {
 		done(Reply{Code: BadCall, Text: err.Error()})
 		return
 	}
@@ -126,6 +127,24 @@
 		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
 }
 
+// checkSpec returns an error if a call has no valid job.
+func checkSpec(c Call) error {
+	if c.Spec == nil {
+		return errors.New("the job is missing")
+	}
+	return c.Spec.Check()
+}
+
+// explain replies with what would happen to the call's job if it were submitted now. It changes nothing.
+func (h *replicaHost) explain(q *job.Queue, account string, c Call, done func(Reply)) {
+	if err := checkSpec(c); err != nil {
+		done(Reply{Code: BadCall, Text: err.Error()})
+		return
+	}
+	e := h.scheduler.Explain(q, c.Spec, account)
+	done(Reply{Code: OK, Explanation: &e})
+}
+
 // submitApplied replies to the calls that wait for a job's Submit, from the state after it.
 func (h *replicaHost) submitApplied(id job.ID, committed bool) {
 	waiters := h.submitting[id]
