--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -48,11 +48,6 @@
 	// pass, nil if there is none.
 	longestBlocked     *readyStep
 	longestBlockedNeed amounts
-	// urgentUsed is the part of used that claims of the most urgent queues take, and urgentPeak what they
-	// took at most, decayed since.
-	urgentUsed    amounts
-	urgentPeak    [len(dimensions)]float64
-	peakAtSeconds float64
 	// weight is the account's part of a full pool, relative to the other accounts. usage is what its
 	// runs take in each pool.
 	weight float64
@@ -116,18 +111,12 @@
 	}
 	c.account = s.accountNamed(name)
 	c.account.used.add(amountsOf(c.allocation()))
-	if c.isUrgent = s.isUrgent(c.poolPriority.priority, c.poolPriority.pool); c.isUrgent {
-		c.account.urgentUsed.add(amountsOf(c.allocation()))
-	}
 	c.account.usageIn(c.poolPriority.pool).used.add(amountsOf(c.allocation()))
 }
 
 // removeUsage subtracts the allocation of a claim from the usage to which it was added.
 func (s *Scheduler) removeUsage(c *claim) {
 	c.account.used.subtract(amountsOf(c.allocation()))
-	if c.isUrgent {
-		c.account.urgentUsed.subtract(amountsOf(c.allocation()))
-	}
 	c.account.usageIn(c.poolPriority.pool).used.subtract(amountsOf(c.allocation()))
 }
 
@@ -140,7 +129,6 @@
 			s.configureAccount(a)
 		}
 		a.held, a.longestBlocked, a.blockedInPass = amounts{}, nil, 0
-		a.updateUrgentPeak(s.now.Seconds())
 	}
 	s.accountsVersion = version
 }
@@ -157,9 +145,9 @@
 // account: all or none of a gang.
 func (s *Scheduler) startsWithinLimit(r *readyStep) int {
 	a, n := r.account, int64(len(r.waiting))
-	used, each, limit := a.used, amountsOf(r.step.Allocation()), s.limitFor(r)
+	used, each := a.used, amountsOf(r.step.Allocation())
 	used.add(a.heldFrom(r))
-	fitting := fairshare.Fitting(used[:], each[:], limit[:], n)
+	fitting := fairshare.Fitting(used[:], each[:], a.limit[:], n)
 	if r.step.Gang && fitting < n {
 		return 0
 	}
@@ -185,7 +173,7 @@
 	}
 	a.isBlocking = true
 	s.record(Decision{Event: "limit reached", Job: r.ref.Job, Task: job.TaskRef{StepRef: r.ref},
-		Reason: a.limitReason(amountsOf(r.step.Allocation()), s.limitFor(r), a.heldFrom(r), r.tasksStartedTogether()), ConfigVersion: s.state.Config().Version})
+		Reason: a.limitReason(amountsOf(r.step.Allocation()), a.heldFrom(r), r.tasksStartedTogether()), ConfigVersion: s.state.Config().Version})
 }
 
 // holdForLongestBlocked selects for each account the step that can be in time and that the limit has blocked
@@ -261,17 +249,16 @@
 	return 1
 }
 
-// limitReason says in which dimension n tasks would bring the account above a limit, which is its own or,
-// for less urgent work, its own less the room that is kept for urgent work.
-func (a *accountUsage) limitReason(each, limit, held amounts, n int64) string {
+// limitReason says in which dimension n tasks would bring the account above its limit.
+func (a *accountUsage) limitReason(each, held amounts, n int64) string {
 	used := a.used
 	used.add(held)
-	d := fairshare.FirstExceeded(used[:], each[:], limit[:], n)
+	d := fairshare.FirstExceeded(used[:], each[:], a.limit[:], n)
 	if d < 0 {
 		return "account " + a.name
 	}
-	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for waiting tasks, %d kept for urgent work; %d tasks of %d each wait",
-		a.name, a.used[d], a.limit[d], dimensions[d], held[d], a.limit[d]-limit[d], n, each[d])
+	return fmt.Sprintf("account %s: %d of %d %s in use, %d held for waiting tasks; %d tasks of %d each wait",
+		a.name, a.used[d], a.limit[d], dimensions[d], held[d], n, each[d])
 }
 
 // ExceedsLimit reports whether a job can never run because one of its tasks or gangs alone needs more
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -72,7 +72,6 @@
 	// leader made it.
 	latenessWhenPlaced lateness
 	poolPriority       poolPriority  // pool and priority under which its processors count in allocatedCPU
-	isUrgent           bool          // counts as urgent work of its account
 	account            *accountUsage // under which its allocation counts, nil if step is nil
 }
 
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -138,9 +138,7 @@
 		copied.usage = maps.Clone(a.usage)
 		c.accounts[j.Account] = &copied
 	}
-	a := c.accountNamed(j.Account)
-	c.configureAccount(a)
-	a.updateUrgentPeak(c.now.Seconds())
+	c.configureAccount(c.accountNamed(j.Account))
 	c.updateTopPriority()
 	c.collectWorkers()
 	c.computeHeadroom()
@@ -173,7 +171,7 @@
 func (s *Scheduler) explainStep(r *readyStep, canStart bool) StepExplanation {
 	x := StepExplanation{Step: int(r.ref.Step), Tasks: len(r.waiting), Gang: r.step.Gang, AllowedByHeadroom: s.startLimit(r), AllowedByLimit: s.startsWithinLimit(r)}
 	if x.AllowedByLimit < x.Tasks {
-		x.LimitReason = r.account.limitReason(amountsOf(r.step.Allocation()), int64(x.Tasks))
+		x.LimitReason = r.account.limitReason(amountsOf(r.step.Allocation()), r.account.heldFrom(r), r.tasksStartedTogether())
 	}
 	eligible := s.eligibleWorkers(r)
 	selected := s.selectWorkers(r, eligible)
@@ -253,9 +251,6 @@
 			}
 			s.cpuBeyondHeadroom[r.pool] -= r.step.Allocation().MilliCPU
 			r.account.used.add(amountsOf(r.step.Allocation()))
-			if s.isUrgent(r.job.Queue.Priority, r.pool) {
-				r.account.urgentUsed.add(amountsOf(r.step.Allocation()))
-			}
 		}
 	}
 }
