--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -171,7 +171,7 @@
 func (s *Scheduler) explainStep(r *readyStep, canStart bool) StepExplanation {
 	x := StepExplanation{Step: int(r.ref.Step), Tasks: len(r.waiting), Gang: r.step.Gang, AllowedByHeadroom: s.startLimit(r), AllowedByLimit: s.startsWithinLimit(r)}
 	if x.AllowedByLimit < x.Tasks {
-		x.LimitReason = r.account.limitReason(amountsOf(r.step.Allocation()), r.account.heldFrom(r), r.tasksStartedTogether())
+		x.LimitReason = r.account.limitReason(amountsOf(r.step.Allocation()), r.account.heldFrom(r), int64(x.Tasks))
 	}
 	eligible := s.eligibleWorkers(r)
 	selected := s.selectWorkers(r, eligible)
