--- a/cell/forward.go
+++ b/cell/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,9 +67,7 @@
 	if isUnclear {
 		return Reply{Code: Unknown}
 	}
-	hash := fnv.New64a()
-	hash.Write([]byte(c.Path))
-	return Reply{Code: Unavailable, RetryAfterMillis: n.router.retryAfter(deadline, hash.Sum64()).Milliseconds()}
+	return Reply{Code: Unavailable, RetryAfterMillis: n.router.retryAfter(deadline, hashString(c.Path)).Milliseconds()}
 }
 
 // attempt sends a call to the leader. mayHaveRun reports whether the call may have been executed
--- a/cell/node.go
+++ b/cell/node.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	empty := persisted.HardState == (raft.HardState{}) && persisted.Snapshot.Index == 0 && len(persisted.Entries) == 0
-	cfg := raft.Config{ID: id, Group: groupName, Seed: hashSeed(string(id)), HeartbeatInterval: heartbeatInterval,
+	cfg := raft.Config{ID: id, Group: groupName, Seed: hashString(string(id)), HeartbeatInterval: heartbeatInterval,
 		ElectionTimeout: electionTimeout, LeaseDuration: leaderLease}
 	if home := n.settings.HomeRegion; home != "" && home != n.settings.Region {
 		cfg.ElectionDelay = remoteElectionDelay
@@ -145,7 +145,8 @@
 	return "" // storage draws a random one
 }
 
-func hashSeed(s string) uint64 {
+// hashString returns a hash that is the same on all VMs.
+func hashString(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
 	return h.Sum64()
--- a/cell/router.go
+++ b/cell/router.go
@@ -28,7 +28,7 @@
 
 func newCallRouter(s Settings, m *metrics, log *zap.Logger) *callRouter {
 	return &callRouter{metrics: m, log: log, probeWanted: make(chan struct{}, 1), waiting: map[uint64]chan string{},
-		finder: newLeaderFinder(time.Now(), s.Seeds, hashSeed(s.Address))}
+		finder: newLeaderFinder(time.Now(), s.Seeds, hashString(s.Address))}
 }
 
 // permit allows one attempt of a call.
--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -12,8 +12,8 @@
 // limitHoldDelay is how long the limit of an account may block a step, or half of the time in which
 // the step has to start to be in time if that is shorter, before later steps of the account leave it
 // the room that becomes free below the limit. Without this a stream of small tasks keeps a gang, or a
-// task that needs more than they do, waiting for ever. Without the delay the account would be below its limit for gangs that start soon
-// anyway, since most runs last for seconds.
+// task that needs more than they do, waiting for ever. Without the delay the account would be below its
+// limit for gangs that start soon anyway, since most runs last for seconds.
 const limitHoldDelay = time.Second
 
 // dimensions are the resources in the order of amounts.
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"time"
 
@@ -63,10 +62,9 @@
 		if r.lateness == worthless || r.step.Gang || r.step.LongRunning || r.step.RequiredLabel != "" {
 			continue
 		}
-		timeLeft := r.deadlineMillis - s.wallMillis
-		s.loadOf(cmp.Or(r.pool, r.job.Queue.Pool)).backlog.Add(shortage.Step{Priority: r.priority, IsLate: r.lateness != inTime,
+		s.loadOf(r.pool).backlog.Add(shortage.Step{Priority: r.priority, IsLate: r.lateness != inTime,
 			Work:     float64(len(r.waiting)) * float64(r.step.Allocation().MilliCPU) * float64(min(max(r.step.EstimateMillis, 0), maxCountedMillis)),
-			Deadline: float64(timeLeft), Worthless: float64(timeLeft + (worthlessFactor-1)*(r.deadlineMillis-r.releasedMillis)),
+			Deadline: float64(r.deadlineMillis - s.wallMillis), Worthless: float64(r.worthlessMillis() - s.wallMillis),
 			Account: r.job.Account, Weight: s.accountWeight(r.job.Account)})
 	}
 	s.knowsLoads = true
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -15,9 +15,8 @@
 	StopTimeout time.Duration
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
-	// RestoreTime is how long a run takes to resume from a checkpoint, and CheckpointInterval the
-	// work between two checkpoints; 0 if it is not known.
-	RestoreTime, CheckpointInterval time.Duration
+	// RestoreTime is how long a run takes to resume from a checkpoint; 0 if it is not known.
+	RestoreTime time.Duration
 	// OrderByCost enables the decisions under shortage that a configuration with client accounts
 	// enables as well.
 	OrderByCost bool
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -38,16 +38,20 @@
 
 // latenessAt returns the lateness at a Unix time in milliseconds.
 func (u urgency) latenessAt(wallMillis int64) lateness {
-	objective := u.deadlineMillis - u.releasedMillis
-	switch timeLeft := u.deadlineMillis - wallMillis; {
-	case timeLeft >= int64(estimateFactor*float64(u.remainingMillis)):
+	switch {
+	case u.deadlineMillis-wallMillis >= int64(estimateFactor*float64(u.remainingMillis)):
 		return inTime
-	case timeLeft >= -(worthlessFactor-1)*objective:
+	case u.worthlessMillis() >= wallMillis:
 		return late
 	}
 	return worthless
 }
 
+// worthlessMillis returns the Unix time in milliseconds after which the result is worth nothing.
+func (u urgency) worthlessMillis() int64 {
+	return u.deadlineMillis + (worthlessFactor-1)*(u.deadlineMillis-u.releasedMillis)
+}
+
 // compareAt orders steps at a Unix time in milliseconds: by lateness, priority and deadline. A
 // late step comes after all that can be in time, whatever its priority, since it would make
 // those late as well.
