dispatch, platform: log lines about a worker name its incarnation, its clock and the basis of its lease

The logs of a run that started on two workers could not say for which incarnation an order was meant, which lease it carried, and on what a new leader bases the end of earlier leases.

--- a/cell/orders.go
+++ b/cell/orders.go
@@ -127,7 +127,7 @@
 func decisionLogger(log *zap.Logger, m *metrics) func(dispatch.Decision) {
 	return func(d dispatch.Decision) {
 		m.decisions.WithLabelValues(d.Event).Inc()
-		fields := make([]zap.Field, 0, 10)
+		fields := make([]zap.Field, 0, 16)
 		if d.Job != 0 {
 			fields = append(fields, zap.Stringer("job", d.Job))
 		}
@@ -140,6 +140,10 @@
 		if d.Worker != "" {
 			fields = append(fields, zap.String("worker", d.Worker))
 		}
+		if d.Incarnation != 0 {
+			fields = append(fields, zap.Uint32("incarnation", d.Incarnation), zap.Int64("started_ms", d.StartedMillis), zap.Int64("clock_ms", d.ClockMillis),
+				zap.Int64("lease_left_ms", d.LeaseLeft.Milliseconds()), zap.String("lease_basis", d.LeaseBasis))
+		}
 		if d.Reason != "" {
 			fields = append(fields, zap.String("reason", d.Reason))
 		}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -76,8 +76,8 @@
 			w.info, w.isLeaving = info, w.isLeaving || info.Leaving
 			return
 		}
-		s.addWorker(info, s.now)
-		s.record(Decision{Event: "worker registered", Worker: info.Name, Reason: missingRack(info)})
+		w := s.addWorker(info, s.now)
+		s.record(s.workerDecision("worker registered", w, missingRack(info)))
 	})
 }
 
@@ -125,7 +125,7 @@
 // is certain that none of them runs, or can still start.
 func (s *Scheduler) endIncarnation(w *worker, reason string) {
 	if !w.isOver {
-		s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: reason, InputAge: s.now - w.reportedAt})
+		s.record(s.workerDecision("worker life over", w, reason))
 		s.markOver(w)
 	}
 	s.loseClaims(w)
@@ -155,7 +155,7 @@
 		return
 	}
 	s.markOver(w)
-	s.record(Decision{Event: "worker life over", Worker: w.info.Name, Reason: "started again under its name", InputAge: s.now - w.reportedAt})
+	s.record(s.workerDecision("worker life over", w, "started again under its name"))
 	for _, c := range w.claims {
 		if !c.mayStartInSuccessor() {
 			s.loseClaim(c)
@@ -216,6 +216,7 @@
 func (s *Scheduler) extendLeases(a, b *worker) {
 	if a.info.Address == b.info.Address {
 		end := s.now + s.maxElapsed(s.settings.MaxLease)
-		a.leaseEnd, b.leaseEnd = max(a.leaseEnd, end), max(b.leaseEnd, end)
+		a.extendLease(end, leaseOfRestart)
+		b.extendLease(end, leaseOfRestart)
 	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -150,6 +150,11 @@
 	Task          job.TaskRef
 	Run           uint32
 	Worker        string
+	Incarnation   uint32        // number of the worker's incarnation, 0 if the decision concerns none
+	StartedMillis int64         // start time of that incarnation
+	ClockMillis   int64         // newest clock value received from it
+	LeaseLeft     time.Duration // time until every lease granted so far has certainly expired
+	LeaseBasis    string        // on what the end of the lease rests
 	Reason        string
 	InputAge      time.Duration // age of the input on which the decision is based
 	Queued, Took  time.Duration // how long a call to the advisor waited for a proxy, and then for its answer
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -40,8 +41,10 @@
 	// was received.
 	clockMillis     int64
 	clockReceivedAt time.Duration
-	// leaseEnd is the time by which every lease granted so far has certainly expired.
+	// leaseEnd is the time by which every lease granted so far has certainly expired, leaseBasis on
+	// what it rests.
 	leaseEnd      time.Duration
+	leaseBasis    string
 	allocated     job.Resources // taken by claims
 	bestEffortCPU int64         // requested by best-effort tasks, in thousandths of a core
 	claims        map[claimKey]*claim
@@ -74,10 +77,34 @@
 	speed       workerSpeed
 }
 
+// The values of worker.leaseBasis.
+const (
+	leaseNone       = "no lease"
+	leaseOfOrder    = "own order"
+	leaseOfTakeover = "order of an earlier leader"
+	leaseOfRestart  = "order for an earlier incarnation"
+)
+
+// extendLease records that leases may last until a time.
+func (w *worker) extendLease(until time.Duration, basis string) {
+	if until > w.leaseEnd {
+		w.leaseEnd, w.leaseBasis = until, basis
+	}
+}
+
+// workerDecision returns a decision about a worker incarnation with what is known about its lease.
+func (s *Scheduler) workerDecision(event string, w *worker, reason string) Decision {
+	return Decision{Event: event, Worker: w.info.Name, Incarnation: w.info.Number, StartedMillis: w.info.StartedMillis, ClockMillis: w.clockMillis,
+		LeaseLeft: w.leaseEnd - s.now, LeaseBasis: w.leaseBasis, Reason: reason, InputAge: s.now - w.reportedAt}
+}
+
 // addWorker adds a worker incarnation. leaseEnd is the time by which all leases that earlier
 // leaders granted have expired.
 func (s *Scheduler) addWorker(info *job.Worker, leaseEnd time.Duration) *worker {
-	w := &worker{info: info, leaseEnd: leaseEnd, claims: map[claimKey]*claim{}, reserved: map[job.StepRef]job.Resources{}, lastSeen: s.now, isLeaving: info.Leaving}
+	w := &worker{info: info, leaseEnd: leaseEnd, leaseBasis: leaseNone, claims: map[claimKey]*claim{}, reserved: map[job.StepRef]job.Resources{}, lastSeen: s.now, isLeaving: info.Leaving}
+	if leaseEnd > s.now {
+		w.leaseBasis = leaseOfTakeover
+	}
 	for _, other := range s.byName[info.Name] {
 		s.extendLeases(other, w)
 	}
@@ -111,7 +138,7 @@
 			continue
 		}
 		if (w.failedRenewals > 0 || w.hasSuccessor) && s.now >= w.leaseEnd && len(w.claims) > 0 {
-			s.record(Decision{Event: "worker lost", Worker: w.info.Name, Reason: "no answer until the lease ended", InputAge: s.now - w.reportedAt})
+			s.record(s.workerDecision("worker lost", w, "no answer until the lease ended"))
 			s.loseClaims(w)
 			s.needsPass = true
 		}
@@ -155,7 +182,7 @@
 	o := Order{Worker: *w.info, FencingToken: s.term}
 	if w.clockMillis > 0 {
 		o.LeaseUntilMillis = w.clockMillis + s.leaseDuration().Milliseconds()
-		w.leaseEnd = max(w.leaseEnd, w.clockReceivedAt+s.maxLeaseElapsed())
+		w.extendLease(w.clockReceivedAt+s.maxLeaseElapsed(), leaseOfOrder)
 	}
 	return o
 }
@@ -192,13 +219,17 @@
 		return
 	}
 	if w.failedRenewals > 0 {
-		s.record(Decision{Event: "worker regained", Worker: w.info.Name, InputAge: s.now - w.reportedAt})
+		s.record(s.workerDecision("worker regained", w, ""))
 	}
+	isFirst := !w.hasReported
 	w.failedRenewals, w.reportedAt, w.lastSeen, w.nextRenewal = 0, s.now, s.now, s.now
 	s.recordClock(w, r.ClockMillis)
 	if !w.hasReported && r.StartedMillis != 0 {
 		s.endEarlierIncarnations(w)
 	}
+	if isFirst {
+		s.record(s.workerDecision("worker reported first", w, fmt.Sprintf("%d runs, %d ends", len(r.Running), len(r.Ended))))
+	}
 	s.reconcile(w, requestedAt, r)
 	w.hasReported = true
 	s.needsPass = true
@@ -206,7 +237,7 @@
 
 // stepDown gives up the leadership, since a worker has refused an order as one of an old leader.
 func (s *Scheduler) stepDown(w *worker) {
-	s.record(Decision{Event: "leadership given up", Worker: w.info.Name, Reason: "worker has seen a newer leader"})
+	s.record(s.workerDecision("leadership given up", w, "worker has seen a newer leader"))
 	s.actions = append(s.actions, StepDown{})
 }
 
@@ -215,7 +246,7 @@
 	w.failedRenewals++
 	w.nextRenewal = s.now + min(renewRetryMin<<min(w.failedRenewals-1, 4), renewRetryMax)
 	if w.failedRenewals == 1 {
-		s.record(Decision{Event: "worker silent", Worker: w.info.Name, Reason: reply.String(), InputAge: s.now - w.reportedAt})
+		s.record(s.workerDecision("worker silent", w, reply.String()))
 	}
 }
 
