dispatch: tests that fail when orders for an incarnation of a worker reach the next one

The simulated network looked up the worker when an order was sent, so a late copy went to the incarnation that was gone and was dropped there. The specification says that a worker that is back under its name takes such orders: the incarnation that is there when an order arrives gets it now.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -49,6 +49,9 @@
 	// around the estimate of the step.
 	work  func(job.TaskRef) time.Duration
 	onEnd func(*fakeRun, job.EndKind) // called when a run ends; may be nil
+	// onOrder is called for each action of the scheduler before it is carried out; it returns false
+	// to withhold it. May be nil.
+	onOrder func(Action) bool
 	// spent is the real time that the scheduler took, and startedRuns the number of starts.
 	spent       time.Duration
 	startedRuns int
@@ -201,6 +204,9 @@
 	}
 	c.measure(func() { c.sched.Tick(c.now, c.wallMillis()) })
 	for _, a := range c.sched.Actions() {
+		if c.onOrder != nil && !c.onOrder(a) {
+			continue
+		}
 		switch a := a.(type) {
 		case Propose:
 			c.propose(a.Ops)
@@ -250,9 +256,9 @@
 	return time.Duration(1+c.rng.IntN(14)) * time.Millisecond
 }
 
-// deliver sends an order to a worker and returns its answer. execute carries out the order at the
-// worker and passes to reply a function that stores the answer, which onAnswer gets as fill.
-// onAnswer is called with false if there is no answer.
+// deliver sends an order to a worker and returns its answer. The incarnation that is at the address when
+// the order arrives gets it. execute carries out the order at the worker and passes to reply a function
+// that stores the answer, which onAnswer gets as fill. onAnswer is called with false if there is no answer.
 func (c *cluster) deliver(o Order, execute func(w *fakeWorker, reply func(func())), onAnswer func(ok bool, fill func())) {
 	term, timeout := c.term, 600*time.Millisecond
 	isFinished := false
@@ -275,13 +281,14 @@
 		c.schedule(timeout, func() { finish(false, nil) })
 	case p < c.faults.lostOrder+c.faults.lateOrder:
 		c.schedule(time.Duration(2000+c.rng.IntN(10000))*time.Millisecond, func() {
-			if w.isUp && !w.isPartitioned {
+			if w := c.workers[o.Worker.Address]; w.isUp && !w.isPartitioned {
 				execute(w, func(func()) {})
 			}
 		})
 		c.schedule(timeout, func() { finish(false, nil) })
 	default:
 		c.schedule(c.oneWayDelay(), func() {
+			w := c.workers[o.Worker.Address]
 			if !w.isUp || w.isPartitioned {
 				return
 			}
--- /dev/null
+++ b/dispatch/restart_test.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderchute/oleanderchute/job"
+)
+
+// restart starts the next incarnation of a worker under its name and address.
+func (w *fakeWorker) restart() *fakeWorker {
+	return w.cluster.addWorker(w.info.Name, w.info.Address, w.info.Capacity)
+}
+
+// cutOff partitions a worker for a time. What starts at its address meanwhile is cut off as well.
+func (c *cluster) cutOff(address string, d time.Duration) {
+	c.workers[address].isPartitioned = true
+	c.schedule(d, func() { c.workers[address].isPartitioned = false })
+}
+
+// newClusterWithKeptOrders returns a cluster of two workers with two runs of 20 s on one of them. It
+// collects the orders that are sent to that worker from then on, which are carried out as well.
+func newClusterWithKeptOrders(c *qt.C) (*cluster, *fakeWorker, *[]Action) {
+	k, w := newClusterWithRuns(c)
+	var kept []Action
+	k.onOrder = func(a Action) bool {
+		switch a := a.(type) {
+		case RenewLease:
+			if a.Worker.Name == w.info.Name {
+				kept = append(kept, a)
+			}
+		case Start:
+			if a.Worker.Name == w.info.Name {
+				kept = append(kept, a)
+			}
+		}
+		return true
+	}
+	return k, w, &kept
+}
+
+// Guards against a task that runs on two workers after a change of leader: an order for the previous
+// incarnation of a worker, whose lease was computed from the clock of that incarnation, reached the
+// next one, which granted it the longest lease. The new leader has to wait until that has ended.
+func TestNewLeaderWaitsForLeasesFromOrdersForThePreviousIncarnation(t *testing.T) {
+	c := qt.New(t)
+	k, w, kept := newClusterWithKeptOrders(c)
+	k.run(20 * time.Second) // the clock of the worker is far ahead of that of the next incarnation
+	renewals := *kept
+	c.Assert(renewals, qt.Not(qt.HasLen), 0)
+	next := w.restart()
+	next.renewLease(renewals[len(renewals)-1].(RenewLease), func(Reply, Report) {})
+	k.submit(2, newStep(10, 1000, 20_000))
+	for ; len(next.runs) == 0; k.run(k.now + time.Millisecond) {
+		c.Assert(k.now < 30*time.Second, qt.IsTrue, qt.Commentf("no run has started on the next incarnation"))
+	}
+	k.addWorker("idle", "10.0.0.9:80", workerCapacity)
+	k.failover(500 * time.Millisecond)
+	k.cutOff(next.info.Address, 14*time.Second)
+	k.run(k.now + 80*time.Second)
+	c.Assert(k.violations, qt.HasLen, 0, qt.Commentf("%s", k.traceOf("worker")))
+	c.Assert(k.openJobCount(), qt.Equals, 0)
+}
+
+// Guards against a run that starts again in the next incarnation of its worker, from a late copy of its
+// start, after it was done in the previous one.
+func TestLateStartIsRefusedByTheNextIncarnation(t *testing.T) {
+	for _, leader := range []string{"same leader", "new leader"} {
+		t.Run(leader, func(t *testing.T) {
+			c := qt.New(t)
+			k, w, kept := newClusterWithKeptOrders(c)
+			k.submit(2, newStep(8, 1000, 500))
+			k.run(k.now + 2*time.Second)
+			k.run(k.now + 2*time.Second) // all runs of the job have ended and are acknowledged
+			c.Assert(k.state.Job(2).Outcome, qt.Equals, job.Completed)
+			next := w.restart()
+			if leader == "new leader" {
+				k.electLeader()
+			}
+			k.run(k.now + time.Second)
+			c.Assert(next.fencingToken, qt.Not(qt.Equals), uint64(0), qt.Commentf("the leader has not sent the next incarnation an order"))
+			starts := 0
+			for _, a := range *kept {
+				if start, ok := a.(Start); ok && start.Worker.StartedMillis == w.info.StartedMillis {
+					starts++
+					reply, _ := next.start(start)
+					c.Assert(reply, qt.Equals, RefusedStaleLeader)
+				}
+			}
+			c.Assert(starts > 0, qt.IsTrue)
+			c.Assert(k.violations, qt.HasLen, 0)
+			k.run(k.now + 60*time.Second)
+			c.Assert(k.openJobCount(), qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against ends that are forgotten unread: a late renewal for the previous incarnation
+// acknowledges ends of the next one by their numbers, which begin anew.
+func TestLateRenewalAcknowledgesNoEndsOfTheNextIncarnation(t *testing.T) {
+	c := qt.New(t)
+	k, w, kept := newClusterWithKeptOrders(c)
+	k.submit(2, newStep(8, 1000, 500))
+	k.run(k.now + 3*time.Second)
+	renewals := *kept
+	next := w.restart()
+	k.run(k.now + time.Second)
+	k.submit(3, newStep(8, 1000, 500))
+	for ; len(next.ended) == 0; k.run(k.now + time.Millisecond) {
+		c.Assert(k.now < 30*time.Second, qt.IsTrue, qt.Commentf("no run has ended on the next incarnation"))
+	}
+	acked := 0
+	for _, a := range renewals {
+		if renewal, ok := a.(RenewLease); ok && renewal.AckedEnd > 0 {
+			acked++
+			next.renewLease(renewal, func(reply Reply, _ Report) { c.Assert(reply, qt.Equals, RefusedStaleLeader) })
+		}
+	}
+	c.Assert(acked > 0, qt.IsTrue)
+	c.Assert(next.ended, qt.Not(qt.HasLen), 0)
+	c.Assert(k.violations, qt.HasLen, 0)
+}
+
+// Guards against simultaneous runs of a task, starts after its end, ends that are acknowledged unread and
+// starts beyond a worker's capacity when workers start again under their names and addresses, several
+// times, while orders are late, leaders change and the workers are cut off. Tasks outlast the longest lease.
+func TestTasksRunOnceAcrossRestarts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCluster(rapid.Uint64().Draw(rt, "seed"), faults{
+			lostOrder: rapid.SampledFrom([]float64{0, 0.02}).Draw(rt, "lost"),
+			lateOrder: rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "late"),
+			failedRun: 0.03,
+		})
+		workers := rapid.IntRange(3, 5).Draw(rt, "workers")
+		c.setUp(workers, rapid.Bool().Draw(rt, "advised"))
+		c.run(2 * time.Second)
+		for i := range rapid.IntRange(2, 12).Draw(rt, "jobs") {
+			step := newStep(rapid.IntRange(1, 5).Draw(rt, "tasks"), int64(500+700*(i%4)), int64(rapid.IntRange(500, 14_000).Draw(rt, "estimate")))
+			c.schedule(time.Duration(i)*400*time.Millisecond, func() { c.submit(job.ID(i+1), step) })
+		}
+		for range rapid.IntRange(1, 4).Draw(rt, "restarts") {
+			c.drawRestart(rt, workers)
+		}
+		c.run(25 * time.Second)
+		c.faults = faults{}
+		c.run(150 * time.Second)
+		if len(c.violations) > 0 {
+			task, _, _ := strings.Cut(strings.SplitN(c.violations[0], ": ", 3)[1], " ")
+			rt.Fatalf("broken rules: %v\n%s\n%s", c.violations, c.traceOf(task), c.traceOf("worker"))
+		}
+		if n := c.openJobCount(); n > 0 {
+			rt.Fatalf("%d jobs are open after the faults\n%s", n, c.openTrace())
+		}
+	})
+}
+
+// drawRestart draws a restart of a worker, which a change of leader and a cut of the worker may follow
+// within three seconds, in any order.
+func (c *cluster) drawRestart(rt *rapid.T, workers int) {
+	address := fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, workers-1).Draw(rt, "worker"))
+	at := time.Duration(rapid.IntRange(0, 12_000).Draw(rt, "restart at")) * time.Millisecond
+	c.schedule(at, func() { c.workers[address].restart() })
+	after := func(name string) time.Duration {
+		return at + time.Duration(rapid.IntRange(0, 3000).Draw(rt, name))*time.Millisecond
+	}
+	if rapid.Bool().Draw(rt, "restarts again") {
+		c.schedule(after("restart again after"), func() { c.workers[address].restart() })
+	}
+	if rapid.Bool().Draw(rt, "changes leader") {
+		gap := time.Duration(rapid.IntRange(300, 2500).Draw(rt, "without a leader")) * time.Millisecond
+		c.schedule(after("leader lost after"), func() {
+			if !c.noLeader {
+				c.failover(gap)
+			}
+		})
+	}
+	if rapid.Bool().Draw(rt, "is cut off") {
+		d := time.Duration(rapid.IntRange(1000, 14_000).Draw(rt, "cut off for")) * time.Millisecond
+		c.schedule(after("cut off after"), func() { c.cutOff(address, d) })
+	}
+}
