dispatch: the fencing token rises with each incarnation of a worker

Callers saw tasks that ran again after they were done, and workers that ran more than they have room for.

Cause: an order is bound to the name and address of a worker, and what it means holds only in one incarnation: the lease is a time on a clock that began anew, acknowledged ends are numbers that began anew, and the worker has forgotten which runs were stopped or had ended there. A worker that has started again under its name takes late copies of all orders that were sent before.

The token is now the term with a generation below it, which is new for each registered incarnation. The first order to an incarnation carries a higher token than any order for an earlier one, so its process refuses those from then on. If an announcement turns out to be false, the incarnation that runs gets a new generation, since its process may have seen that of the false one. A refusal ends the leadership only if the refused token is the newest one for the worker: otherwise this leader itself has sent the higher one.

--- a/cell/orders.go
+++ b/cell/orders.go
@@ -50,7 +50,7 @@
 		defer cancel()
 		reply, report := h.node.workers.RenewLease(ctx, o)
 		h.node.metrics.orders.WithLabelValues("hold", reply.String()).Inc()
-		h.postReply(renewalKind, epoch, func(now time.Duration) { h.scheduler.Reported(now, o.Worker.Number, sent, reply, report) })
+		h.postReply(renewalKind, epoch, func(now time.Duration) { h.scheduler.Reported(now, o, sent, reply, report) })
 	}()
 }
 
@@ -58,7 +58,7 @@
 	h.sendOrder("start",
 		func(ctx context.Context) (dispatch.Reply, int64) { return h.node.workers.Start(ctx, o) },
 		func(now time.Duration, reply dispatch.Reply, clock int64) {
-			h.scheduler.Started(now, o.Task, o.Run, reply, clock)
+			h.scheduler.Started(now, o, reply, clock)
 		})
 }
 
@@ -66,7 +66,7 @@
 	h.sendOrder("stop",
 		func(ctx context.Context) (dispatch.Reply, int64) { return h.node.workers.Stop(ctx, o) },
 		func(now time.Duration, reply dispatch.Reply, clock int64) {
-			h.scheduler.Stopped(now, o.Task, o.Run, reply, clock)
+			h.scheduler.Stopped(now, o, reply, clock)
 		})
 }
 
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -102,7 +102,7 @@
 		return n
 	}
 	end := EndedRun{Number: 1, Task: job.TaskRef{StepRef: job.StepRef{Job: 7}}, Run: 1, Kind: job.EndDone}
-	s.Reported(k.now, 1, k.now, Accepted, Report{StartedMillis: w.info.StartedMillis, ClockMillis: 1, Ended: []EndedRun{end}})
+	s.Reported(k.now, RenewLease{Order: s.newOrder(w)}, k.now, Accepted, Report{StartedMillis: w.info.StartedMillis, ClockMillis: 1, Ended: []EndedRun{end}})
 	c.Assert(renewals(), qt.Equals, 0) // the end has to be committed before it is acknowledged
 	s.Applied(k.now, job.Op{EndsCommitted: &job.EndsCommitted{Worker: 1, UpTo: 1}})
 	c.Assert(renewals(), qt.Equals, 1)
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -205,8 +205,9 @@
 
 // Started handles the reply to a Start. clockMillis is the worker's clock, 0 if the reply did
 // not contain it.
-func (s *Scheduler) Started(now time.Duration, ref job.TaskRef, run uint32, reply Reply, clockMillis int64) {
+func (s *Scheduler) Started(now time.Duration, o Start, reply Reply, clockMillis int64) {
 	s.advanceClock(now)
+	ref, run := o.Task, o.Run
 	c := s.claims[claimKey{ref, run}]
 	if c == nil || !s.leading {
 		return
@@ -224,7 +225,8 @@
 		c.phase, c.confirmedAt = claimRunning, s.now
 		s.startedJobs[ref.Job] = true
 	case RefusedStaleLeader:
-		s.stepDown(w)
+		c.retryAt = s.now + orderRetryMin
+		s.fenced(o.Order, w)
 	case OtherIncarnation:
 		s.endIncarnation(w, "another life has its address")
 	case RefusedRunEnded:
@@ -290,9 +292,9 @@
 
 // Stopped handles the reply to a Stop. clockMillis is the worker's clock, 0 if the reply did
 // not contain it.
-func (s *Scheduler) Stopped(now time.Duration, ref job.TaskRef, run uint32, reply Reply, clockMillis int64) {
+func (s *Scheduler) Stopped(now time.Duration, o Stop, reply Reply, clockMillis int64) {
 	s.advanceClock(now)
-	c := s.claims[claimKey{ref, run}]
+	c := s.claims[claimKey{o.Task, o.Run}]
 	if c == nil || !s.leading {
 		return
 	}
@@ -304,7 +306,8 @@
 	case RefusedRunEnded:
 		c.phase, c.confirmedAt = claimStopped, s.now
 	case RefusedStaleLeader:
-		s.stepDown(c.worker)
+		c.retryAt = s.now + orderRetryMin
+		s.fenced(o.Order, c.worker)
 	case OtherIncarnation:
 		s.endIncarnation(c.worker, "another life has its address")
 	default:
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -315,7 +315,7 @@
 		if ok {
 			fill()
 		}
-		c.measure(func() { sched.Reported(c.now, o.Worker.Number, requestedAt, reply, report) })
+		c.measure(func() { sched.Reported(c.now, o, requestedAt, reply, report) })
 	})
 }
 
@@ -324,13 +324,13 @@
 	c.deliver(o.Order, func(w *fakeWorker, respond func(func())) {
 		r, clock := w.start(o)
 		c.startedRuns++
-		respond(func() { c.measure(func() { sched.Started(c.now, o.Task, o.Run, r, clock) }) })
+		respond(func() { c.measure(func() { sched.Started(c.now, o, r, clock) }) })
 	}, func(ok bool, fill func()) {
 		if ok {
 			fill()
 			return
 		}
-		sched.Started(c.now, o.Task, o.Run, NoReply, 0)
+		sched.Started(c.now, o, NoReply, 0)
 	})
 }
 
@@ -338,13 +338,13 @@
 	sched := c.sched
 	c.deliver(o.Order, func(w *fakeWorker, respond func(func())) {
 		r, clock := w.stop(o)
-		respond(func() { sched.Stopped(c.now, o.Task, o.Run, r, clock) })
+		respond(func() { sched.Stopped(c.now, o, r, clock) })
 	}, func(ok bool, fill func()) {
 		if ok {
 			fill()
 			return
 		}
-		sched.Stopped(c.now, o.Task, o.Run, NoReply, 0)
+		sched.Stopped(c.now, o, NoReply, 0)
 	})
 }
 
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -204,9 +204,13 @@
 // first renewal shows that.
 func (s *Scheduler) updateSuccessors(name string) {
 	for _, w := range s.byName[name] {
+		hadSuccessor := w.hasSuccessor
 		w.hasSuccessor = slices.ContainsFunc(s.byName[name], func(o *worker) bool {
 			return o != w && !o.isOver && o.info.Address == w.info.Address && o.info.StartedMillis > w.info.StartedMillis
 		})
+		if hadSuccessor && !w.hasSuccessor && !w.isOver {
+			s.renewGeneration(w) // its process may have got orders to the one that was no successor
+		}
 	}
 }
 
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -156,7 +156,7 @@
 			case RenewLease:
 				c.Assert(a.Worker.Number == old.info.Number, qt.IsFalse)
 				renewals++
-				k.sched.Reported(k.now, a.Worker.Number, k.now, NoReply, Report{})
+				k.sched.Reported(k.now, a, k.now, NoReply, Report{})
 			case Start:
 				c.Assert(a.Worker.Number == old.info.Number, qt.IsFalse)
 			}
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -126,6 +126,38 @@
 	c.Assert(k.violations, qt.HasLen, 0)
 }
 
+// Guards against the loss of the leadership when the next incarnation of a worker refuses an order for
+// the previous one: no other leader is the cause.
+func TestRefusalOfAnOrderForThePreviousIncarnationKeepsTheLeadership(t *testing.T) {
+	c := qt.New(t)
+	k, w, _ := newClusterWithKeptOrders(c)
+	old, term := k.sched.newest(w.info.Name), k.term
+	w.restart()
+	for ; !old.hasSuccessor; k.run(k.now + time.Millisecond) {
+		c.Assert(k.now < 6*time.Second, qt.IsTrue, qt.Commentf("the next incarnation is not registered"))
+	}
+	k.sched.Reported(k.now, RenewLease{Order: Order{Worker: *old.info, FencingToken: k.sched.fencingToken(old)}}, k.now, RefusedStaleLeader, Report{})
+	k.run(k.now + 3*time.Second)
+	c.Assert(k.term, qt.Equals, term)
+}
+
+// Guards against a worker that refuses all orders of the leader: an announcement that no worker sent
+// made the leader address the worker as another incarnation for a moment.
+func TestWorkerTakesOrdersAfterAFalseAnnouncementOfItsName(t *testing.T) {
+	c := qt.New(t)
+	k, w, _ := newClusterWithKeptOrders(c)
+	term := k.term
+	k.announceForeign(w, "", 1000, false)
+	k.run(k.now + 4*time.Second)
+	k.submit(2, newStep(8, 1000, 500))
+	k.run(k.now + 4*time.Second)
+	c.Assert(k.state.Job(2).Outcome, qt.Equals, job.Completed, qt.Commentf("%s", k.openTrace()))
+	c.Assert(k.term, qt.Equals, term)
+	c.Assert(k.traceOf("worker silent"), qt.Equals, "")
+	c.Assert(w.runs, qt.Not(qt.HasLen), 0)
+	c.Assert(k.violations, qt.HasLen, 0)
+}
+
 // Guards against simultaneous runs of a task, starts after its end, ends that are acknowledged unread and
 // starts beyond a worker's capacity when workers start again under their names and addresses, several
 // times, while orders are late, leaders change and the workers are cut off. Tasks outlast the longest lease.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,6 +41,7 @@
 	ops        []job.Op // operations of the next Propose
 
 	workers         map[uint32]*worker
+	lastGeneration  uint64               // newest generation of a worker incarnation in this term
 	byName          map[string][]*worker // the incarnations of each name
 	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
 	claims          map[claimKey]*claim
@@ -122,6 +123,7 @@
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
 	s.loads, s.knowsLoads, s.meanWork = map[string]*poolLoad{}, false, map[string]*shortage.MeanWork{}
+	s.lastGeneration = 0
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,8 +30,10 @@
 
 // Order is the part that all orders to a worker incarnation have in common.
 type Order struct {
-	Worker       job.Worker
-	FencingToken uint64 // term of the leader; workers refuse orders with an older one
+	Worker job.Worker
+	// FencingToken rises with the term of the leader, and within a term with each incarnation of a worker;
+	// workers refuse orders with a lower one than they have seen.
+	FencingToken uint64
 	// LeaseUntilMillis is the requested end of the lease on the worker's clock, 0 if the order
 	// requests no lease.
 	LeaseUntilMillis int64
@@ -116,7 +118,7 @@
 // The results of an order.
 const (
 	Accepted            Reply = iota + 1
-	RefusedStaleLeader        // a newer leader has sent orders to this worker
+	RefusedStaleLeader        // the worker has seen a higher fencing token
 	RefusedRunEnded           // this run or a newer one of the task has ended or was stopped on the worker
 	RefusedLeaseExpired       // the lease of the order had expired on arrival
 	RefusedCapacity           // the worker has too little free capacity
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,8 @@
 // worker is the leader's soft state of one worker incarnation.
 type worker struct {
 	info *job.Worker // as registered in the replicated state
+	// generation is part of the fencing token; see fencingToken.
+	generation uint64
 	// clockMillis is the newest clock value received from the worker, clockReceivedAt when it
 	// was received.
 	clockMillis     int64
@@ -110,6 +112,7 @@
 	}
 	s.workers[info.Number], s.workersByNumber = w, nil
 	s.byName[info.Name] = append(s.byName[info.Name], w)
+	s.renewGeneration(w)
 	s.updateSuccessors(info.Name)
 	return w
 }
@@ -179,7 +182,7 @@
 // newOrder returns the common part of an order to a worker and records the latest end of the
 // lease that it requests.
 func (s *Scheduler) newOrder(w *worker) Order {
-	o := Order{Worker: *w.info, FencingToken: s.term}
+	o := Order{Worker: *w.info, FencingToken: s.fencingToken(w)}
 	if w.clockMillis > 0 {
 		o.LeaseUntilMillis = w.clockMillis + s.leaseDuration().Milliseconds()
 		w.extendLease(w.clockReceivedAt+s.maxLeaseElapsed(), leaseOfOrder)
@@ -195,9 +198,9 @@
 }
 
 // Reported handles the answer to a RenewLease that was sent at the time requestedAt.
-func (s *Scheduler) Reported(now time.Duration, number uint32, requestedAt time.Duration, reply Reply, r Report) {
+func (s *Scheduler) Reported(now time.Duration, o RenewLease, requestedAt time.Duration, reply Reply, r Report) {
 	s.advanceClock(now)
-	w := s.workers[number]
+	w := s.workers[o.Worker.Number]
 	if w == nil || !s.leading {
 		return
 	}
@@ -205,7 +208,7 @@
 	switch reply {
 	case Accepted:
 	case RefusedStaleLeader:
-		s.stepDown(w)
+		s.fenced(o.Order, w)
 		return
 	case OtherIncarnation:
 		s.endIncarnation(w, "another life has its address")
@@ -235,8 +238,12 @@
 	s.needsPass = true
 }
 
-// stepDown gives up the leadership, since a worker has refused an order as one of an old leader.
-func (s *Scheduler) stepDown(w *worker) {
+// fenced handles the refusal of an order because of its fencing token. It gives up the leadership if
+// only a newer leader can have sent the worker a higher token.
+func (s *Scheduler) fenced(o Order, w *worker) {
+	if s.isOutdated(o, w) {
+		return
+	}
 	s.record(s.workerDecision("leadership given up", w, "worker has seen a newer leader"))
 	s.actions = append(s.actions, StepDown{})
 }
