dispatch, job: a new leader waits for leases that orders for an earlier incarnation got

Callers saw two runs of one task (TWICE): a worker started again under its name, the leader was killed, the worker was cut off, and the next leader started its tasks elsewhere 5.1 s after its election while they ran on the worker for 10 s.

Cause: an order for the former incarnation that arrives before the first order of the next one gets it the longest lease that workers grant, since the time in the order is one of the former clock. The leader that registered the restart knows two incarnations and waits that long; a leader that takes over knows one, and waited for the lease that orders ask for.

A worker incarnation is now registered as not settled. When the longest lease has passed since its first report, from which on it refuses earlier orders, the next batch of operations marks it as settled. A new leader waits for the longest lease on incarnations that are not settled, and as long as before on all others: no clock of another machine and no knowledge of earlier incarnations is needed, and without restarts nothing waits longer. The mark is no entry of its own.

Evidence: TestNewLeaderWaitsForLeasesFromOrdersForThePreviousIncarnation failed before; TestNewLeaderWaitsForTheLeasesThatOrdersAskFor guards the price.

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -67,6 +67,26 @@
 	c.Assert(k.openJobCount(), qt.Equals, 0)
 }
 
+// Guards against tasks of a silent worker that wait for the longest lease after a change of leader, though
+// all leases that orders for earlier incarnations may have got have expired.
+func TestNewLeaderWaitsForTheLeasesThatOrdersAskFor(t *testing.T) {
+	c := qt.New(t)
+	k, w := newClusterWithRuns(c)
+	k.submit(2, newStep(10, 1000, 30_000))
+	k.run(12 * time.Second)
+	k.submit(3, newStep(1, 1000, 500)) // its operations take along that the workers are settled
+	k.run(13 * time.Second)
+	c.Assert(k.state.Worker(1).Settled, qt.IsTrue)
+	k.electLeader()
+	elected := k.now
+	k.cutOff(w.info.Address, 20*time.Second)
+	for ; k.traceOf("worker lost") == ""; k.run(k.now + 5*time.Millisecond) {
+		c.Assert(k.now < elected+taskLease+taskLease/20, qt.IsTrue)
+	}
+	k.run(k.now + 60*time.Second)
+	c.Assert(k.violations, qt.HasLen, 0)
+}
+
 // Guards against a run that starts again in the next incarnation of its worker, from a late copy of its
 // start, after it was done in the previous one.
 func TestLateStartIsRefusedByTheNextIncarnation(t *testing.T) {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,6 +41,7 @@
 	ops        []job.Op // operations of the next Propose
 
 	workers         map[uint32]*worker
+	settled         []uint32             // incarnations that the next operations mark as settled
 	lastGeneration  uint64               // newest generation of a worker incarnation in this term
 	byName          map[string][]*worker // the incarnations of each name
 	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
@@ -123,7 +124,7 @@
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
 	s.loads, s.knowsLoads, s.meanWork = map[string]*poolLoad{}, false, map[string]*shortage.MeanWork{}
-	s.lastGeneration = 0
+	s.lastGeneration, s.settled = 0, nil
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
@@ -144,6 +145,18 @@
 	return taskLease
 }
 
+// longestLease returns the duration of the longest lease that workers grant, as far as it is known.
+func (s *Scheduler) longestLease() time.Duration { return max(s.settings.MaxLease, s.leaseDuration()) }
+
+// leaseOfEarlierLeaders returns the longest duration that the leases of an incarnation can have left when a
+// leader is elected.
+func (s *Scheduler) leaseOfEarlierLeaders(w *job.Worker) time.Duration {
+	if w.Settled {
+		return s.leaseDuration()
+	}
+	return s.longestLease()
+}
+
 // maxLeaseElapsed returns the time after the receipt of a worker's clock value by which every
 // lease that was computed from that value has expired.
 func (s *Scheduler) maxLeaseElapsed() time.Duration { return s.maxElapsed(s.leaseDuration()) }
@@ -158,7 +171,7 @@
 	s.Reset(s.state)
 	s.leading, s.term, s.now, s.wallMillis, s.leadingSince = true, term, now, wallMillis, now
 	s.updateTopPriority()
-	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.maxLeaseElapsed()) })
+	s.state.Workers(func(w *job.Worker) { s.addWorker(w, now+s.maxElapsed(s.leaseOfEarlierLeaders(w))) })
 	s.state.OpenJobs(func(j *job.Job) { s.staleJobs[j.ID] = true })
 	s.state.Jobs(func(j *job.Job) {
 		s.adoptClaims(j)
@@ -213,6 +226,10 @@
 // Actions returns and clears the actions since the last call, with the proposal first.
 func (s *Scheduler) Actions() []Action {
 	if len(s.ops) > 0 {
+		if len(s.settled) > 0 {
+			s.propose(job.Op{SettleWorkers: s.settled})
+			s.settled = nil
+		}
 		s.actions = append([]Action{Propose{s.ops}}, s.actions...)
 		s.ops = nil
 	}
@@ -337,6 +354,8 @@
 		s.workerApplied(op.RegisterWorker)
 	case op.EndsCommitted != nil:
 		s.endsCommitted(op.EndsCommitted)
+	case op.SettleWorkers != nil:
+		s.workersSettled(op.SettleWorkers)
 	case op.DeregisterWorker != 0:
 		s.removeWorker(op.DeregisterWorker)
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -45,8 +45,10 @@
 	clockReceivedAt time.Duration
 	// leaseEnd is the time by which every lease granted so far has certainly expired, leaseBasis on
 	// what it rests.
-	leaseEnd      time.Duration
-	leaseBasis    string
+	leaseEnd   time.Duration
+	leaseBasis string
+	// settledAt is when the incarnation can be marked as settled, 0 if it is not known or was proposed.
+	settledAt     time.Duration
 	allocated     job.Resources // taken by claims
 	bestEffortCPU int64         // requested by best-effort tasks, in thousandths of a core
 	claims        map[claimKey]*claim
@@ -87,6 +89,35 @@
 	leaseOfRestart  = "order for an earlier incarnation"
 )
 
+// boundInheritedLeases handles the first report of an incarnation in this term. From the order that it
+// answers, the worker refuses those for earlier incarnations; one that came before may have got it the
+// longest lease.
+func (s *Scheduler) boundInheritedLeases(w *worker) {
+	if !w.info.Settled {
+		w.settledAt = s.now + s.maxElapsed(s.longestLease())
+		w.extendLease(w.settledAt, leaseOfRestart)
+	}
+}
+
+// scanSettled notes an incarnation as settled on which no lease of an order for an earlier incarnation can
+// be left, so that a new leader need not wait for one. The next operations take that along: without any,
+// there are no new claims that a new leader could place again.
+func (s *Scheduler) scanSettled(w *worker) {
+	if w.settledAt != 0 && s.now >= w.settledAt {
+		w.settledAt = 0
+		s.settled = append(s.settled, w.info.Number)
+	}
+}
+
+// workersSettled updates the soft state from incarnations that were marked as settled.
+func (s *Scheduler) workersSettled(numbers []uint32) {
+	for _, n := range numbers {
+		if w, info := s.workers[n], s.state.Worker(n); w != nil && info != nil {
+			w.info = info
+		}
+	}
+}
+
 // extendLease records that leases may last until a time.
 func (w *worker) extendLease(until time.Duration, basis string) {
 	if until > w.leaseEnd {
@@ -131,6 +162,7 @@
 	firstRenewals := maxFirstRenewals
 	for _, w := range s.sortedWorkers() {
 		s.scanSignOff(w)
+		s.scanSettled(w)
 		if w.isOver {
 			if len(w.claims) > 0 && s.now-w.lastSeen > idleWorkerTimeout {
 				s.loseClaims(w)
@@ -231,6 +263,7 @@
 		s.endEarlierIncarnations(w)
 	}
 	if isFirst {
+		s.boundInheritedLeases(w)
 		s.record(s.workerDecision("worker reported first", w, fmt.Sprintf("%d runs, %d ends", len(r.Running), len(r.Ended))))
 	}
 	s.reconcile(w, requestedAt, r)
--- a/job/op.go
+++ b/job/op.go
@@ -72,6 +72,7 @@
 	Member           *Member        `cbor:"8,keyasint,omitempty"`
 	DeleteJobs       []ID           `cbor:"9,keyasint,omitempty"`  // ended jobs whose retention is over
 	EndsCommitted    *EndsCommitted `cbor:"10,keyasint,omitempty"` // does not change the state
+	SettleWorkers    []uint32       `cbor:"11,keyasint,omitempty"` // numbers of worker incarnations; see Worker.Settled
 }
 
 // EndsCommitted marks that all ends reported by a worker incarnation up to a number are in
--- a/job/record.go
+++ b/job/record.go
@@ -160,6 +160,9 @@
 	Capacity      Resources `cbor:"9,keyasint"`
 	Leaving       bool      `cbor:"10,keyasint,omitempty"` // shuts down and accepts no new tasks
 	Rack          string    `cbor:"11,keyasint,omitempty"`
+	// Settled is set once every lease that orders for earlier incarnations may have got here has
+	// expired. Such orders carry times of another clock, so their leases are as long as workers grant.
+	Settled bool `cbor:"12,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has a label. Every worker has the empty label.
--- a/job/state.go
+++ b/job/state.go
@@ -110,6 +110,8 @@
 		s.registerWorker(*op.RegisterWorker)
 	case op.DeregisterWorker != 0:
 		delete(s.workers, op.DeregisterWorker)
+	case op.SettleWorkers != nil:
+		s.settleWorkers(op.SettleWorkers)
 	case op.Config != nil:
 		s.setConfig(*op.Config)
 	case op.Member != nil:
@@ -136,7 +138,7 @@
 	for n, old := range s.workers {
 		if old.SameIncarnation(&w) {
 			w.Number = n
-			w.Leaving = w.Leaving || old.Leaving
+			w.Leaving, w.Settled = w.Leaving || old.Leaving, old.Settled
 			s.workers[n] = &w
 			return
 		}
@@ -147,10 +149,21 @@
 		}
 	}
 	s.lastWorker++
-	w.Number = s.lastWorker
+	w.Number, w.Settled = s.lastWorker, false
 	s.workers[w.Number] = &w
 }
 
+// settleWorkers marks the worker incarnations that are not over as settled.
+func (s *State) settleWorkers(numbers []uint32) {
+	for _, n := range numbers {
+		if w := s.workers[n]; w != nil {
+			settled := *w
+			settled.Settled = true
+			s.workers[n] = &settled
+		}
+	}
+}
+
 func (s *State) submit(o *Submit) {
 	if s.jobs[o.ID] != nil {
 		return
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -115,3 +115,24 @@
 	c.Assert(workerNames(s)[1], qt.Equals, "w")
 	c.Assert(s.Worker(1).StartedMillis, qt.Equals, int64(3))
 }
+
+// Guards against an incarnation that counts as settled because an earlier one was, and against one that
+// loses the mark when it announces itself again.
+func TestSettledWorkers(t *testing.T) {
+	c := qt.New(t)
+	s := NewState()
+	first, next := Worker{Name: "w", StartedMillis: 3, Address: "a:1", Settled: true}, Worker{Name: "w", StartedMillis: 9, Address: "a:1"}
+	s.Apply(Op{RegisterWorker: &first})
+	c.Assert(s.Worker(1).Settled, qt.IsFalse)
+	s.Apply(Op{SettleWorkers: []uint32{1, 7}})
+	c.Assert(s.Worker(1).Settled, qt.IsTrue)
+	first.Leaving, first.Settled = true, false
+	s.Apply(Op{RegisterWorker: &first})
+	c.Assert(s.Worker(1).Settled, qt.IsTrue)
+	s.Apply(Op{RegisterWorker: &next})
+	c.Assert(s.Worker(2).Settled, qt.IsFalse)
+	restored := NewState()
+	c.Assert(restored.Restore(s.Snapshot()), qt.IsNil)
+	c.Assert(restored.Worker(1).Settled, qt.IsTrue)
+	c.Assert(restored.Worker(2).Settled, qt.IsFalse)
+}
