dispatch, cell, platform: a sign-off holds for one incarnation of a worker

Callers lost the work of a worker that had just started again: the sign-off of its previous incarnation, delayed or repeated because the reply was lost, stopped all runs of the new one. The new one got no work any more and was marked as leaving in the replicated state, so the next leaders left it idle too.

Cause: the call passed on the worker's name alone, and SignedOff took the newest incarnation of that name. Confirmations were kept by name as well, so the one for an incarnation also answered the sign-off of another one, before that one's runs were stopped.

The body's start time (born) now goes with the call, as field 9, and selects the incarnation; one that is over or not known is acknowledged at once and nothing else changes. ConfirmSignOff and the waiting calls have the number of the incarnation. Without a start time (an empty or undecodable body, a VM of an earlier version) the sign-off holds for the newest incarnation, as before.

cell_test.go: the map of waiting calls is keyed by number, so the check looks up the number of the one registered worker.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -504,7 +504,9 @@
 	tc.onEventLoop(tc.leader(), func(h *replicaHost) {
 		now := h.node.eventLoop.Now()
 		h.serve(now, Call{Kind: SignOff, Worker: "w1"}, func(r Reply) { replies <- r })
-		tc.c.Check(h.signOffs["w1"], qt.HasLen, 1)
+		number := uint32(0)
+		h.state.Workers(func(w *job.Worker) { number = w.Number })
+		tc.c.Check(h.signOffs[number], qt.HasLen, 1)
 		h.group.Node.StepDown()
 		h.updateLeadership(now)
 		tc.c.Check(h.signOffs, qt.HasLen, 0)
--- a/cell/host.go
+++ b/cell/host.go
@@ -29,8 +29,9 @@
 	proposals        map[uint64]proposal // by log index
 	// submitting holds the calls that wait for a job's Submit to be applied.
 	submitting map[job.ID][]submission
-	// signOffs holds the callbacks of the sign-offs that the scheduler has not confirmed, by worker.
-	signOffs map[string][]func(Reply)
+	// signOffs holds the callbacks of the sign-offs that the scheduler has not confirmed, by number of
+	// the worker incarnation.
+	signOffs map[uint32][]func(Reply)
 	// lastSeen is when each VM, by address, was last heard from while this replica is the
 	// leader.
 	lastSeen      map[string]time.Duration
@@ -48,7 +49,7 @@
 
 func newReplicaHost(n *Node) *replicaHost {
 	h := &replicaHost{node: n, state: job.NewState(), proposals: map[uint64]proposal{},
-		submitting: map[job.ID][]submission{}, signOffs: map[string][]func(Reply){}, lastSeen: map[string]time.Duration{}}
+		submitting: map[job.ID][]submission{}, signOffs: map[uint32][]func(Reply){}, lastSeen: map[string]time.Duration{}}
 	h.scheduler = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log, n.metrics))
 	return h
 }
@@ -211,8 +212,8 @@
 	for _, done := range lost {
 		done(false)
 	}
-	for worker := range h.signOffs {
-		h.confirmSignOff(worker, Reply{Code: Interrupted})
+	for number := range h.signOffs {
+		h.confirmSignOff(number, Reply{Code: Interrupted})
 	}
 }
 
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -44,6 +44,9 @@
 	Worker       string        `cbor:"7,keyasint,omitempty"` // worker name, for SignOff
 	// Key is the digest of the key with which the caller identifies its account, nil if it sent none.
 	Key *job.KeyDigest `cbor:"8,keyasint,omitempty"`
+	// StartedMillis is the start time of the worker incarnation that signs off, 0 if the worker or a VM
+	// of an earlier version did not send it.
+	StartedMillis int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Code is the outcome of a call.
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -26,7 +26,7 @@
 		case dispatch.Advise:
 			h.sendAdvise(a)
 		case dispatch.ConfirmSignOff:
-			h.confirmSignOff(a.Worker, Reply{Code: OK})
+			h.confirmSignOff(a.Number, Reply{Code: OK})
 		case dispatch.StepDown:
 			h.group.Node.StepDown()
 		}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -33,7 +33,7 @@
 	case Announce:
 		h.announce(now, c, done)
 	case SignOff:
-		h.signOff(now, c.Worker, done)
+		h.signOff(now, c, done)
 	default:
 		done(Reply{Code: BadCall, Text: "unknown kind of call"})
 	}
@@ -246,19 +246,20 @@
 }
 
 // signOff replies when the scheduler has recorded the sign-off, or at once if it does not know the
-// worker.
-func (h *replicaHost) signOff(now time.Duration, worker string, done func(Reply)) {
-	if !h.scheduler.SignedOff(now, worker) {
+// incarnation of the worker or that is over.
+func (h *replicaHost) signOff(now time.Duration, c Call, done func(Reply)) {
+	number := h.scheduler.IncarnationSignedOff(now, c.Worker, c.StartedMillis)
+	if number == 0 {
 		h.propose(replyOnCommit(done, Reply{Code: OK}))
 		return
 	}
-	h.signOffs[worker] = append(h.signOffs[worker], done)
+	h.signOffs[number] = append(h.signOffs[number], done)
 }
 
-// confirmSignOff replies to all calls that wait for the sign-off of a worker.
-func (h *replicaHost) confirmSignOff(worker string, r Reply) {
-	waiting := h.signOffs[worker]
-	delete(h.signOffs, worker)
+// confirmSignOff replies to all calls that wait for the sign-off of a worker incarnation.
+func (h *replicaHost) confirmSignOff(number uint32, r Reply) {
+	waiting := h.signOffs[number]
+	delete(h.signOffs, number)
 	for _, done := range waiting {
 		done(r)
 	}
--- a/dispatch/signoff.go
+++ b/dispatch/signoff.go
@@ -10,20 +10,25 @@
 // their worker is confirmed without them.
 const signOffMargin = 300 * time.Millisecond
 
-// SignedOff handles the message of a worker that it is about to end. Until it has ended, which may
-// be seconds later if the reply is lost, its tasks run on. So they are stopped, and their claims
-// end like those of any other worker. It reports whether a ConfirmSignOff will follow; there is
-// none for a worker that is not known or whose incarnation is over.
-func (s *Scheduler) SignedOff(now time.Duration, name string) bool {
+// IncarnationSignedOff handles the message of a worker that it is about to end. Until it has ended,
+// which may be seconds later if the reply is lost, its tasks run on. So they are stopped, and their
+// claims end like those of any other worker. The message may arrive when the worker has started
+// again under its name, so it holds for the incarnation that started at startedMillis alone; 0 stands for
+// the newest one. It returns the number of the incarnation for which a ConfirmSignOff will follow;
+// 0 for one that is not known or is over, which needs none.
+func (s *Scheduler) IncarnationSignedOff(now time.Duration, name string, startedMillis int64) uint32 {
 	s.advanceClock(now)
 	w := s.newest(name)
+	if startedMillis != 0 {
+		w = s.startedAt(name, startedMillis)
+	}
 	if w == nil || w.isOver || !s.leading {
-		return false
+		return 0
 	}
 	w.isLeaving, w.isSignOffConfirmed = true, false
 	if w.signedOffAt == 0 {
 		w.signedOffAt = s.now
-		s.record(Decision{Event: "worker signed off", Worker: name, InputAge: s.now - w.reportedAt})
+		s.record(s.workerDecision("worker signed off", w, ""))
 	}
 	if !w.info.Leaving {
 		info := *w.info
@@ -36,7 +41,19 @@
 		}
 	}
 	s.scanSignOff(w)
-	return true
+	return w.info.Number
+}
+
+// startedAt returns the incarnation of a name that started at a time, nil if it is not known. Of
+// several at different addresses it returns one that has reported in this term, if there is one.
+func (s *Scheduler) startedAt(name string, startedMillis int64) *worker {
+	var found *worker
+	for _, w := range s.byName[name] {
+		if w.info.StartedMillis == startedMillis && (found == nil || w.hasReported && !found.hasReported) {
+			found = w
+		}
+	}
+	return found
 }
 
 // scanSignOff ends the incarnation of a worker that has signed off once no claim is left on it. If
@@ -56,6 +73,6 @@
 func (s *Scheduler) confirmSignOff(w *worker) {
 	if w.signedOffAt != 0 && !w.isSignOffConfirmed {
 		w.isSignOffConfirmed = true
-		s.actions = append(s.actions, ConfirmSignOff{Worker: w.info.Name})
+		s.actions = append(s.actions, ConfirmSignOff{Worker: w.info.Name, Number: w.info.Number})
 	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -74,8 +74,11 @@
 	Timeout time.Duration
 }
 
-// ConfirmSignOff tells a worker that has signed off that this is recorded.
-type ConfirmSignOff struct{ Worker string }
+// ConfirmSignOff tells a worker incarnation that has signed off that this is recorded.
+type ConfirmSignOff struct {
+	Worker string
+	Number uint32 // of the incarnation
+}
 
 // StepDown gives up the leadership, since a worker has seen a newer leader.
 type StepDown struct{}
