dispatch, cell, platform: replies are bound to the incarnation to which the order was sent

Replies to starts and stops do not name the incarnation that sent them, and were looked up by the task and run only.

Replies are now handled for the incarnation that the order names, and the clock is taken from reports only, which name theirs. Reports arrive at least once a second, so leases end as before.

TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone fails without the check of the incarnation.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-func (w *fakeWorkers) Start(_ context.Context, o dispatch.Start) (dispatch.Reply, int64) {
+func (w *fakeWorkers) Start(_ context.Context, o dispatch.Start) dispatch.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	name := o.Worker.Name
@@ -71,7 +71,7 @@
 		w.runs[name] = map[job.TaskRef]uint32{}
 	}
 	if w.runs[name][o.Task] == o.Run {
-		return dispatch.Accepted, w.clock()
+		return dispatch.Accepted
 	}
 	w.starts[o.Task]++
 	w.runs[name][o.Task] = o.Run
@@ -84,11 +84,11 @@
 			w.ended[name] = append(w.ended[name], dispatch.EndedRun{Number: w.lastEndNumber[name], Task: o.Task, Run: o.Run, Kind: job.EndDone})
 		}
 	})
-	return dispatch.Accepted, w.clock()
+	return dispatch.Accepted
 }
 
-func (w *fakeWorkers) Stop(_ context.Context, o dispatch.Stop) (dispatch.Reply, int64) {
-	return dispatch.RefusedRunEnded, w.clock()
+func (w *fakeWorkers) Stop(_ context.Context, o dispatch.Stop) dispatch.Reply {
+	return dispatch.RefusedRunEnded
 }
 
 // noAdvisor is an AdvisorClient for queues that need no advice. It grants nothing.
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -56,31 +56,26 @@
 
 func (h *replicaHost) sendStart(o dispatch.Start) {
 	h.sendOrder("start",
-		func(ctx context.Context) (dispatch.Reply, int64) { return h.node.workers.Start(ctx, o) },
-		func(now time.Duration, reply dispatch.Reply, clock int64) {
-			h.scheduler.Started(now, o, reply, clock)
-		})
+		func(ctx context.Context) dispatch.Reply { return h.node.workers.Start(ctx, o) },
+		func(now time.Duration, reply dispatch.Reply) { h.scheduler.Started(now, o, reply) })
 }
 
 func (h *replicaHost) sendStop(o dispatch.Stop) {
 	h.sendOrder("stop",
-		func(ctx context.Context) (dispatch.Reply, int64) { return h.node.workers.Stop(ctx, o) },
-		func(now time.Duration, reply dispatch.Reply, clock int64) {
-			h.scheduler.Stopped(now, o, reply, clock)
-		})
+		func(ctx context.Context) dispatch.Reply { return h.node.workers.Stop(ctx, o) },
+		func(now time.Duration, reply dispatch.Reply) { h.scheduler.Stopped(now, o, reply) })
 }
 
-// sendOrder sends a start or a stop and passes the reply and the worker's clock to onReply
-// on the event loop.
-func (h *replicaHost) sendOrder(kind string, send func(ctx context.Context) (dispatch.Reply, int64), onReply func(now time.Duration, reply dispatch.Reply, clock int64)) {
+// sendOrder sends a start or a stop and passes the reply to onReply on the event loop.
+func (h *replicaHost) sendOrder(kind string, send func(ctx context.Context) dispatch.Reply, onReply func(now time.Duration, reply dispatch.Reply)) {
 	epoch := h.epoch
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		began := time.Now()
-		reply, clock := send(ctx)
+		reply := send(ctx)
 		h.node.metrics.recordOrder(kind, reply, time.Since(began))
-		h.postReply(kind, epoch, func(now time.Duration) { onReply(now, reply, clock) })
+		h.postReply(kind, epoch, func(now time.Duration) { onReply(now, reply) })
 	}()
 }
 
--- a/cell/ports.go
+++ b/cell/ports.go
@@ -13,10 +13,8 @@
 type WorkerClient interface {
 	// RenewLease extends the worker's lease and returns the worker's report.
 	RenewLease(ctx context.Context, o dispatch.RenewLease) (dispatch.Reply, dispatch.Report)
-	// Start and Stop also return the worker's clock in milliseconds, or 0 if the worker did
-	// not report it.
-	Start(ctx context.Context, o dispatch.Start) (dispatch.Reply, int64)
-	Stop(ctx context.Context, o dispatch.Stop) (dispatch.Reply, int64)
+	Start(ctx context.Context, o dispatch.Start) dispatch.Reply
+	Stop(ctx context.Context, o dispatch.Stop) dispatch.Reply
 }
 
 // Grant is the advisor's permission for the named worker to run a step.
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -203,17 +203,15 @@
 		Payload: j.Spec.Payload, Checkpoint: c.checkpoint, Ticket: c.ticket})
 }
 
-// Started handles the reply to a Start. clockMillis is the worker's clock, 0 if the reply did
-// not contain it.
-func (s *Scheduler) Started(now time.Duration, o Start, reply Reply, clockMillis int64) {
+// Started handles the reply to a Start. A claim that was moved to another incarnation since is left as it is.
+func (s *Scheduler) Started(now time.Duration, o Start, reply Reply) {
 	s.advanceClock(now)
 	ref, run := o.Task, o.Run
 	c := s.claims[claimKey{ref, run}]
-	if c == nil || !s.leading {
+	if c == nil || !s.leading || c.worker.info.Number != o.Worker.Number {
 		return
 	}
 	w := c.worker
-	s.recordClock(w, clockMillis)
 	if reply != Accepted {
 		s.record(Decision{Event: "start refused", Job: ref.Job, Task: ref, Run: run, Worker: w.info.Name, Reason: reply.String(), InputAge: s.now - c.startedAt})
 	}
@@ -290,15 +288,13 @@
 	s.actions = append(s.actions, Stop{Order: s.newOrder(c.worker), Task: c.key.task, Run: c.key.run})
 }
 
-// Stopped handles the reply to a Stop. clockMillis is the worker's clock, 0 if the reply did
-// not contain it.
-func (s *Scheduler) Stopped(now time.Duration, o Stop, reply Reply, clockMillis int64) {
+// Stopped handles the reply to a Stop. A claim that was moved to another incarnation since is left as it is.
+func (s *Scheduler) Stopped(now time.Duration, o Stop, reply Reply) {
 	s.advanceClock(now)
 	c := s.claims[claimKey{o.Task, o.Run}]
-	if c == nil || !s.leading {
+	if c == nil || !s.leading || c.worker.info.Number != o.Worker.Number {
 		return
 	}
-	s.recordClock(c.worker, clockMillis)
 	switch reply {
 	case Accepted:
 		c.phase, c.confirmedAt = claimStopped, s.now+s.settings.StopTimeout
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -322,29 +322,29 @@
 func (c *cluster) start(o Start) {
 	sched := c.sched
 	c.deliver(o.Order, func(w *fakeWorker, respond func(func())) {
-		r, clock := w.start(o)
+		r := w.start(o)
 		c.startedRuns++
-		respond(func() { c.measure(func() { sched.Started(c.now, o, r, clock) }) })
+		respond(func() { c.measure(func() { sched.Started(c.now, o, r) }) })
 	}, func(ok bool, fill func()) {
 		if ok {
 			fill()
 			return
 		}
-		sched.Started(c.now, o, NoReply, 0)
+		sched.Started(c.now, o, NoReply)
 	})
 }
 
 func (c *cluster) stop(o Stop) {
 	sched := c.sched
 	c.deliver(o.Order, func(w *fakeWorker, respond func(func())) {
-		r, clock := w.stop(o)
-		respond(func() { sched.Stopped(c.now, o, r, clock) })
+		r := w.stop(o)
+		respond(func() { sched.Stopped(c.now, o, r) })
 	}, func(ok bool, fill func()) {
 		if ok {
 			fill()
 			return
 		}
-		sched.Stopped(c.now, o, NoReply, 0)
+		sched.Stopped(c.now, o, NoReply)
 	})
 }
 
--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -32,7 +32,7 @@
 				}
 			case Start:
 				started = append(started, a)
-				k.sched.Started(k.now, a, RefusedCapacity, 0)
+				k.sched.Started(k.now, a, RefusedCapacity)
 			}
 		}
 	}
@@ -42,7 +42,7 @@
 	last := started[len(started)-1]
 	k.sched.addClaim(last.Task, last.Run+1, k.sched.workers[1], &k.state.Job(7).Spec.Steps[0], claimSent)
 	last.Run++
-	k.sched.Started(k.now, last, Accepted, 0)
+	k.sched.Started(k.now, last, Accepted)
 	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 0)
 }
 
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -204,7 +204,7 @@
 	s := newStep(1, 1000, 1000)
 	claim := k.sched.addClaim(ref, 1, w, &s, claimSent)
 	requestedAt := k.now + 2*time.Millisecond // between two ticks
-	k.sched.Started(k.now+5*time.Millisecond, Start{Order: k.sched.newOrder(w), Task: ref, Run: 1}, Accepted, 0)
+	k.sched.Started(k.now+5*time.Millisecond, Start{Order: k.sched.newOrder(w), Task: ref, Run: 1}, Accepted)
 	k.sched.Reported(k.now+6*time.Millisecond, RenewLease{Order: k.sched.newOrder(w)}, requestedAt, Accepted, Report{StartedMillis: w.info.StartedMillis, ClockMillis: 1})
 	c.Assert(k.sched.claims[claim.key], qt.Equals, claim)
 }
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -108,7 +108,7 @@
 			for _, a := range *kept {
 				if start, ok := a.(Start); ok && start.Worker.StartedMillis == w.info.StartedMillis {
 					starts++
-					reply, _ := next.start(start)
+					reply := next.start(start)
 					c.Assert(reply, qt.Equals, RefusedStaleLeader)
 				}
 			}
@@ -146,6 +146,30 @@
 	c.Assert(k.violations, qt.HasLen, 0)
 }
 
+// Guards against a claim on the next incarnation of a worker that is taken for stopped, or for running,
+// because of a reply to an order for the previous one.
+func TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone(t *testing.T) {
+	c := qt.New(t)
+	k, w, _ := newClusterWithKeptOrders(c)
+	old := k.sched.newest(w.info.Name)
+	start := Start{Order: k.sched.newOrder(old), Task: job.TaskRef{StepRef: job.StepRef{Job: 1}}, Run: 1}
+	stop := Stop{Order: start.Order, Task: start.Task, Run: start.Run}
+	next := w.restart()
+	next.start(start)
+	var moved *claim
+	for moved == nil || moved.worker == old {
+		moved = k.sched.claims[claimKey{start.Task, start.Run}]
+		c.Assert(moved, qt.IsNotNil, qt.Commentf("%s", k.traceOf("")))
+		k.run(k.now + time.Millisecond)
+	}
+	c.Assert(moved.phase, qt.Equals, claimStopping)
+	k.sched.Stopped(k.now, stop, Accepted)
+	c.Assert(moved.phase, qt.Equals, claimStopping)
+	moved.phase = claimSent
+	k.sched.Started(k.now, start, Accepted)
+	c.Assert(moved.phase, qt.Equals, claimSent)
+}
+
 // Guards against the loss of the leadership when the next incarnation of a worker refuses an order for
 // the previous one: no other leader is the cause.
 func TestRefusalOfAnOrderForThePreviousIncarnationKeepsTheLeadership(t *testing.T) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -222,7 +222,8 @@
 	return o
 }
 
-// recordClock records a clock value from a worker's answer.
+// recordClock records a clock value from a worker's report. Replies to other orders do not name the
+// incarnation whose clock they give.
 func (s *Scheduler) recordClock(w *worker, clockMillis int64) {
 	if clockMillis > w.clockMillis {
 		w.clockMillis, w.clockReceivedAt = clockMillis, s.now
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -268,30 +268,30 @@
 	}
 }
 
-func (w *fakeWorker) start(o Start) (Reply, int64) {
+func (w *fakeWorker) start(o Start) Reply {
 	key := claimKey{o.Task, o.Run}
 	if o.Worker.Name != w.info.Name {
-		return OtherIncarnation, 0
+		return OtherIncarnation
 	}
 	switch {
 	case o.FencingToken < w.fencingToken:
-		return RefusedStaleLeader, w.clockMillis()
+		return RefusedStaleLeader
 	case w.runs[key] != nil:
 		w.fencingToken = o.FencingToken
 		w.extendLease(o.LeaseUntilMillis)
-		return Accepted, w.clockMillis()
+		return Accepted
 	case o.Run <= w.lastClosedRun[o.Task]:
 		w.fencingToken = o.FencingToken
 		w.extendLease(o.LeaseUntilMillis)
-		return RefusedRunEnded, w.clockMillis()
+		return RefusedRunEnded
 	case o.LeaseUntilMillis < w.clockMillis():
 		w.fencingToken = o.FencingToken
-		return RefusedLeaseExpired, w.clockMillis()
+		return RefusedLeaseExpired
 	}
 	w.fencingToken = o.FencingToken
 	w.extendLease(o.LeaseUntilMillis)
 	w.startRun(o, key)
-	return Accepted, w.clockMillis()
+	return Accepted
 }
 
 // startRun starts a run and checks the rules that a start can break.
@@ -414,12 +414,12 @@
 	}
 }
 
-func (w *fakeWorker) stop(o Stop) (Reply, int64) {
+func (w *fakeWorker) stop(o Stop) Reply {
 	if o.Worker.Name != w.info.Name {
-		return OtherIncarnation, 0
+		return OtherIncarnation
 	}
 	if o.FencingToken < w.fencingToken {
-		return RefusedStaleLeader, w.clockMillis()
+		return RefusedStaleLeader
 	}
 	w.fencingToken = o.FencingToken
 	w.lastClosedRun[o.Task] = max(w.lastClosedRun[o.Task], o.Run)
@@ -427,7 +427,7 @@
 	if w.runs[key] != nil {
 		w.cluster.schedule(time.Duration(w.cluster.rng.IntN(400))*time.Millisecond, func() { w.endRun(key, job.EndStopped) })
 	}
-	return Accepted, w.clockMillis()
+	return Accepted
 }
 
 // checkStart reports the rules that a start breaks.
