dispatch: starts that the next incarnation does not list are lost with its first report

Tasks of a worker that had started again waited until each unanswered start was stopped on the next incarnation, and for its longest lease. From the order that its first report answers, the next incarnation refuses orders for the earlier one, so a start that the report does not list cannot reach it any more: the task is placed again at once. Listed runs are moved and stopped as before; a full report proves nothing.

TestStartsThatHaveNotReachedTheNextIncarnationAreLostWithItsFirstReport failed before.

--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -165,25 +165,37 @@
 
 // endEarlierIncarnations ends the incarnations before one that has reported for the first time in
 // this term. The report comes from the worker itself, at the address to which it was sent.
-func (s *Scheduler) endEarlierIncarnations(w *worker) {
+func (s *Scheduler) endEarlierIncarnations(w *worker, r Report) {
 	for _, old := range s.workers {
 		switch {
 		case old == w || old.info.StartedMillis >= w.info.StartedMillis || !old.info.Conflicts(w.info):
 		case old.info.Name == w.info.Name && old.info.Address == w.info.Address:
 			s.workerRestarted(old)
-			s.transferClaims(old, w)
+			s.transferClaims(old, w, r)
 		default:
 			s.endIncarnation(old, "a later incarnation has reported")
 		}
 	}
 }
 
-// transferClaims moves the claims whose starts may still reach the new incarnation of a worker
-// to that incarnation, and stops their runs there, so that it refuses a delayed copy of a start.
-func (s *Scheduler) transferClaims(old, successor *worker) {
-	s.extendLeases(old, successor) // starts may have arrived since both were registered
+// transferClaims moves the claims whose starts have reached the new incarnation of a worker to that
+// incarnation, and stops their runs there. From the order that its first report answers, it refuses orders
+// for the earlier one, so the starts that the report does not list cannot reach it any more.
+func (s *Scheduler) transferClaims(old, successor *worker, r Report) {
+	listed := make(map[claimKey]bool, len(r.Running)+len(r.Ended))
+	for _, run := range r.Running {
+		listed[claimKey{run.Task, run.Run}] = true
+	}
+	for _, e := range r.Ended {
+		listed[claimKey{e.Task, e.Run}] = true
+	}
+	isFull := len(r.Ended) >= maxEndsPerReport // a missing run may be among the ends that it omits
 	for _, c := range old.claims {
-		if c.phase == claimProposed || !c.mayStartInSuccessor() {
+		if c.phase == claimProposed {
+			continue
+		}
+		if !listed[c.key] && !isFull {
+			s.loseClaim(c)
 			continue
 		}
 		origin := c.origin
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -146,6 +146,42 @@
 	c.Assert(k.violations, qt.HasLen, 0)
 }
 
+// Guards against tasks of a restarted worker that wait for stops of runs which its next incarnation does not
+// have and refuses from its first report on.
+func TestStartsThatHaveNotReachedTheNextIncarnationAreLostWithItsFirstReport(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(2, false)
+	k.run(2 * time.Second)
+	var withheld *Start
+	k.onOrder = func(a Action) bool {
+		if start, ok := a.(Start); ok && withheld == nil {
+			withheld = &start
+			return false
+		}
+		return true
+	}
+	k.submit(1, newStep(1, 1000, 1000))
+	for ; withheld == nil; k.run(k.now + time.Millisecond) {
+		c.Assert(k.now < 3*time.Second, qt.IsTrue)
+	}
+	next := k.workers[withheld.Worker.Address].restart()
+	stops := 0
+	k.onOrder = func(a Action) bool {
+		if _, ok := a.(Stop); ok {
+			stops++
+		}
+		return true
+	}
+	k.run(k.now + time.Second)
+	c.Assert(stops, qt.Equals, 0)
+	c.Assert(k.traceOf("placed"), qt.Contains, "run 2")
+	c.Assert(next.start(*withheld), qt.Equals, RefusedStaleLeader)
+	k.run(k.now + 5*time.Second)
+	c.Assert(k.violations, qt.HasLen, 0)
+	c.Assert(k.openJobCount(), qt.Equals, 0)
+}
+
 // Guards against a claim on the next incarnation of a worker that is taken for stopped, or for running,
 // because of a reply to an order for the previous one.
 func TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone(t *testing.T) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -261,7 +261,7 @@
 	w.failedRenewals, w.reportedAt, w.lastSeen, w.nextRenewal = 0, s.now, s.now, s.now
 	s.recordClock(w, r.ClockMillis)
 	if !w.hasReported && r.StartedMillis != 0 {
-		s.endEarlierIncarnations(w)
+		s.endEarlierIncarnations(w, r)
 	}
 	if isFirst {
 		s.boundInheritedLeases(w)
