dispatch: the first renewal of a next incarnation is repeated after 150 ms

Until the first order of its own arrives, a worker that has started again takes late orders for its former incarnation. If that order was lost, this lasted until its timeout, over 600 ms. It is sent again after 150 ms now, to incarnations whose name has another one only. A second reply changes nothing.

TestFirstRenewalOfTheNextIncarnationIsRepeated failed before.

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -182,6 +182,28 @@
 	c.Assert(k.openJobCount(), qt.Equals, 0)
 }
 
+// Guards against a next incarnation that takes orders for the previous one for seconds, since the first order of
+// its own was lost and is sent again only after its timeout.
+func TestFirstRenewalOfTheNextIncarnationIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	k, w, _ := newClusterWithKeptOrders(c)
+	next := w.restart()
+	lost := 0
+	k.onOrder = func(a Action) bool {
+		if renewal, ok := a.(RenewLease); ok && renewal.Worker.StartedMillis == next.info.StartedMillis && lost == 0 {
+			lost++
+			return false
+		}
+		return true
+	}
+	k.run(k.now + 400*time.Millisecond)
+	c.Assert(lost, qt.Equals, 1)
+	c.Assert(next.fencingToken, qt.Not(qt.Equals), uint64(0))
+	c.Assert(k.sched.newest(w.info.Name).hasReported, qt.IsTrue)
+	k.run(k.now + 3*time.Second) // another reply to the first renewal changes nothing
+	c.Assert(k.traceOf("worker silent"), qt.Equals, "")
+}
+
 // Guards against a claim on the next incarnation of a worker that is taken for stopped, or for running,
 // because of a reply to an order for the previous one.
 func TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone(t *testing.T) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,6 +23,10 @@
 	// simultaneous answers of hundreds of workers would delay the Raft heartbeats of a leader
 	// with little CPU.
 	maxFirstRenewals = 24
+	// probeInterval is the time after which the first renewal of an incarnation is sent again without
+	// waiting for its timeout, if an earlier incarnation may be over: until it arrives, the worker takes
+	// orders for the earlier one.
+	probeInterval = 150 * time.Millisecond
 	// maxReportAge is the greatest age of a worker's newest report at which the worker still
 	// gets new tasks.
 	maxReportAge = 2500 * time.Millisecond
@@ -55,7 +59,8 @@
 	reserved      map[job.StepRef]job.Resources // capacity reserved for steps
 	isSchedulable bool                          // accepts new tasks in the current scheduling pass
 
-	isRenewing           bool // a RenewLease is in flight
+	isRenewing           bool          // a RenewLease is in flight
+	renewalSentAt        time.Duration // when the newest RenewLease was sent
 	nextRenewal          time.Duration
 	failedRenewals       int           // consecutive failed renewals
 	reportedAt           time.Duration // time of the newest report in this term, 0 if none
@@ -197,13 +202,19 @@
 // isRenewalDue reports whether the next renewal may be sent to a worker now. Ends that were
 // reported have to be committed before.
 func (s *Scheduler) isRenewalDue(w *worker) bool {
-	return !w.isOver && !w.hasSuccessor && !w.isRenewing && w.uncommittedEnd == 0 && s.now >= w.nextRenewal
+	if w.isOver || w.hasSuccessor || w.uncommittedEnd != 0 {
+		return false
+	}
+	if w.isRenewing {
+		return !w.hasReported && len(s.byName[w.info.Name]) > 1 && s.now >= w.renewalSentAt+probeInterval
+	}
+	return s.now >= w.nextRenewal
 }
 
 // renewLease sends a RenewLease to a worker. The worker answers without delay if it has sent no
 // report in this term or if its last renewal failed.
 func (s *Scheduler) renewLease(w *worker) {
-	w.isRenewing = true
+	w.isRenewing, w.renewalSentAt = true, s.now
 	wait := renewWait
 	if !w.hasReported || w.failedRenewals > 0 {
 		wait = 0
@@ -234,8 +245,8 @@
 func (s *Scheduler) Reported(now time.Duration, o RenewLease, requestedAt time.Duration, reply Reply, r Report) {
 	s.advanceClock(now)
 	w := s.workers[o.Worker.Number]
-	if w == nil || !s.leading {
-		return
+	if w == nil || !s.leading || requestedAt < w.renewalSentAt && w.hasReported {
+		return // also if it is another reply to a first renewal that was sent again
 	}
 	w.isRenewing = false
 	switch reply {
