dispatch: a renewal of a worker that has not answered asks for a report only

A worker that has not answered may have started again. Repeated renewals asked its next incarnation for leases until a time of the former clock, without an end, and acknowledged its ends by numbers of the former one. They carry neither now, and a new generation, so that a worker that has started again refuses what was sent before, also while it is not registered.

TestRenewalOfASilentWorkerAsksForAReportOnly failed before.

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -204,6 +204,33 @@
 	c.Assert(k.traceOf("worker silent"), qt.Equals, "")
 }
 
+// Guards against an order that gets the next incarnation of a worker a lease, or acknowledges its ends, before
+// anything of it is known: a worker that has not answered may have started again.
+func TestRenewalOfASilentWorkerAsksForAReportOnly(t *testing.T) {
+	c := qt.New(t)
+	k, w, kept := newClusterWithKeptOrders(c)
+	k.submit(2, newStep(8, 1000, 300))
+	k.run(k.now + 2*time.Second)
+	newest := (*kept)[len(*kept)-1].(RenewLease)
+	c.Assert(newest.AckedEnd > 0 && newest.LeaseUntilMillis > 0, qt.IsTrue)
+	k.cutOff(w.info.Address, 4*time.Second)
+	for ; k.traceOf("worker silent") == ""; k.run(k.now + 5*time.Millisecond) {
+		c.Assert(k.now < 10*time.Second, qt.IsTrue)
+	}
+	*kept = nil
+	k.run(k.now + 1500*time.Millisecond)
+	c.Assert(*kept, qt.Not(qt.HasLen), 0)
+	for _, a := range *kept {
+		renewal := a.(RenewLease)
+		c.Assert(renewal.LeaseUntilMillis, qt.Equals, int64(0))
+		c.Assert(renewal.AckedEnd, qt.Equals, uint64(0))
+		c.Assert(renewal.FencingToken > newest.FencingToken, qt.IsTrue)
+	}
+	k.run(k.now + 30*time.Second)
+	c.Assert(k.violations, qt.HasLen, 0)
+	c.Assert(k.openJobCount(), qt.Equals, 0)
+}
+
 // Guards against a claim on the next incarnation of a worker that is taken for stopped, or for running,
 // because of a reply to an order for the previous one.
 func TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone(t *testing.T) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -212,14 +212,19 @@
 }
 
 // renewLease sends a RenewLease to a worker. The worker answers without delay if it has sent no
-// report in this term or if its last renewal failed.
+// report in this term or if its last renewal failed. In the latter case it may have started again, so
+// the renewal asks for a report only.
 func (s *Scheduler) renewLease(w *worker) {
 	w.isRenewing, w.renewalSentAt = true, s.now
 	wait := renewWait
 	if !w.hasReported || w.failedRenewals > 0 {
 		wait = 0
 	}
-	s.actions = append(s.actions, RenewLease{Order: s.newOrder(w), AckedEnd: w.ackedEnd, MaxWait: wait})
+	renewal := RenewLease{Order: Order{Worker: *w.info, FencingToken: s.fencingToken(w)}, MaxWait: wait}
+	if w.failedRenewals == 0 {
+		renewal.Order, renewal.AckedEnd = s.newOrder(w), w.ackedEnd
+	}
+	s.actions = append(s.actions, renewal)
 }
 
 // newOrder returns the common part of an order to a worker and records the latest end of the
@@ -299,6 +304,7 @@
 	w.nextRenewal = s.now + min(renewRetryMin<<min(w.failedRenewals-1, 4), renewRetryMax)
 	if w.failedRenewals == 1 {
 		s.record(s.workerDecision("worker silent", w, reply.String()))
+		s.renewGeneration(w) // if it has started again, it refuses what was sent until now
 	}
 }
 
