dispatch: a start that no report lists is waited for as long as a next incarnation may run it

A worker that has started again takes a start for its former incarnation, with a lease as long as it grants, and may be cut off before anybody hears of it. The leader placed the task again when the lease of the former incarnation had ended, after 5.1 s, while it ran for 10 s.

Claims of a silent worker whose run no report of that incarnation has listed now wait for the longest lease after the newest order that asked for one. Listed runs have ended with their incarnation, and wait as before. Stops no longer count as orders that ask for a lease; they never carried one.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -199,7 +199,7 @@
 		return
 	}
 	c.phase, c.retryAt, c.hasResumed = claimSent, 0, c.checkpoint != ""
-	s.actions = append(s.actions, Start{Order: s.newOrder(c.worker), Task: c.key.task, Run: c.key.run,
+	s.actions = append(s.actions, Start{Order: s.newLeaseOrder(c.worker), Task: c.key.task, Run: c.key.run,
 		Payload: j.Spec.Payload, Checkpoint: c.checkpoint, Ticket: c.ticket})
 }
 
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -231,14 +231,37 @@
 	c.Assert(k.openJobCount(), qt.Equals, 0)
 }
 
+// Guards against a task that is placed again while it runs on an incarnation that nobody knows of: its
+// worker has started again, taken a start for the previous incarnation and been cut off.
+func TestStartThatAnUnknownIncarnationTookIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	reached := 0
+	for seed := range uint64(20) {
+		k, _, next := newClusterRestartedAtPlacement(c, seed, 20*time.Second, newStep(1, 1000, 20_000))
+		k.cutOff(next.info.Address, 2*time.Millisecond) // its first announcement is lost
+		k.run(k.now + 2*time.Millisecond)
+		for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
+			k.run(k.now + time.Millisecond)
+		}
+		if len(next.runs) > 0 {
+			reached++
+		}
+		k.cutOff(next.info.Address, 15*time.Second)
+		k.run(k.now + 60*time.Second)
+		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
+		c.Check(k.openJobCount(), qt.Equals, 0)
+	}
+	c.Assert(reached > 0, qt.IsTrue)
+}
+
 // Guards against a claim on the next incarnation of a worker that is taken for stopped, or for running,
 // because of a reply to an order for the previous one.
 func TestReplyForThePreviousIncarnationLeavesTheClaimsOfTheNextAlone(t *testing.T) {
 	c := qt.New(t)
 	k, w, _ := newClusterWithKeptOrders(c)
 	old := k.sched.newest(w.info.Name)
-	start := Start{Order: k.sched.newOrder(old), Task: job.TaskRef{StepRef: job.StepRef{Job: 1}}, Run: 1}
-	stop := Stop{Order: start.Order, Task: start.Task, Run: start.Run}
+	start := Start{Order: k.sched.newLeaseOrder(old), Task: job.TaskRef{StepRef: job.StepRef{Job: 1}}, Run: 1}
+	stop := Stop{Order: k.sched.newOrder(old), Task: start.Task, Run: start.Run}
 	next := w.restart()
 	next.start(start)
 	var moved *claim
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -27,6 +27,8 @@
 	// waiting for its timeout, if an earlier incarnation may be over: until it arrives, the worker takes
 	// orders for the earlier one.
 	probeInterval = 150 * time.Millisecond
+	// orderTransit is how long after it was sent an order may arrive that is not held up on its way.
+	orderTransit = time.Second
 	// maxReportAge is the greatest age of a worker's newest report at which the worker still
 	// gets new tasks.
 	maxReportAge = 2500 * time.Millisecond
@@ -51,6 +53,9 @@
 	// what it rests.
 	leaseEnd   time.Duration
 	leaseBasis string
+	// leaseOrderedAt is when the newest order that asks for a lease was sent. An incarnation that is not
+	// known yet may have taken it, and a lease as long as workers grant.
+	leaseOrderedAt time.Duration
 	// settledAt is when the incarnation can be marked as settled, 0 if it is not known or was proposed.
 	settledAt     time.Duration
 	allocated     job.Resources // taken by claims
@@ -177,10 +182,8 @@
 			}
 			continue
 		}
-		if (w.failedRenewals > 0 || w.hasSuccessor) && s.now >= w.leaseEnd && len(w.claims) > 0 {
-			s.record(s.workerDecision("worker lost", w, "no answer until the lease ended"))
-			s.loseClaims(w)
-			s.needsPass = true
+		if (w.failedRenewals > 0 || w.hasSuccessor) && s.now >= w.leaseEnd {
+			s.loseExpiredClaims(w)
 		}
 		if len(w.claims) == 0 && s.now-w.lastSeen > idleWorkerTimeout {
 			s.endIncarnation(w, "silent")
@@ -199,6 +202,23 @@
 	}
 }
 
+// loseExpiredClaims loses the claims on a worker whose lease has ended. The starts that no report has listed
+// may have been taken by a next incarnation, which is silent since; those wait until its lease has ended.
+func (s *Scheduler) loseExpiredClaims(w *worker) {
+	isOverEverywhere := s.now >= w.leaseOrderedAt+orderTransit+s.maxElapsed(s.longestLease())
+	lost := 0
+	for _, c := range w.claims {
+		if c.phase != claimProposed && (isOverEverywhere || c.isListed || c.phase == claimAdopted) {
+			s.loseClaim(c)
+			lost++
+		}
+	}
+	if lost > 0 {
+		s.record(s.workerDecision("worker lost", w, fmt.Sprintf("no answer until the lease ended; %d claims ended, %d wait for a next incarnation", lost, len(w.claims))))
+		s.needsPass = true
+	}
+}
+
 // isRenewalDue reports whether the next renewal may be sent to a worker now. Ends that were
 // reported have to be committed before.
 func (s *Scheduler) isRenewalDue(w *worker) bool {
@@ -220,20 +240,26 @@
 	if !w.hasReported || w.failedRenewals > 0 {
 		wait = 0
 	}
-	renewal := RenewLease{Order: Order{Worker: *w.info, FencingToken: s.fencingToken(w)}, MaxWait: wait}
+	renewal := RenewLease{Order: s.newOrder(w), MaxWait: wait}
 	if w.failedRenewals == 0 {
-		renewal.Order, renewal.AckedEnd = s.newOrder(w), w.ackedEnd
+		renewal.Order, renewal.AckedEnd = s.newLeaseOrder(w), w.ackedEnd
 	}
 	s.actions = append(s.actions, renewal)
 }
 
-// newOrder returns the common part of an order to a worker and records the latest end of the
-// lease that it requests.
+// newOrder returns the common part of an order to a worker that requests no lease.
 func (s *Scheduler) newOrder(w *worker) Order {
-	o := Order{Worker: *w.info, FencingToken: s.fencingToken(w)}
+	return Order{Worker: *w.info, FencingToken: s.fencingToken(w)}
+}
+
+// newLeaseOrder returns the common part of an order to a worker that requests a lease, and records the
+// latest end of that lease.
+func (s *Scheduler) newLeaseOrder(w *worker) Order {
+	o := s.newOrder(w)
 	if w.clockMillis > 0 {
 		o.LeaseUntilMillis = w.clockMillis + s.leaseDuration().Milliseconds()
 		w.extendLease(w.clockReceivedAt+s.maxLeaseElapsed(), leaseOfOrder)
+		w.leaseOrderedAt = s.now
 	}
 	return o
 }
