partition: the life-cycle property checks that orders stay with one incarnation

The model already looks a worker up when a message arrives: restart changes the model worker in place and keeps its name and address, so orders of one incarnation do reach the next. Nothing counted or checked that.

The property now checks that a task is dispatched to one incarnation only, that each token in a dispatch or a sync was issued by the incarnation that it names, and that an end is acknowledged only by a sync for the incarnation that reported it. It counts the orders that reach another incarnation, by kind, and fails if a kind never did. A new operation restarts a worker once or twice, changes the owner and cuts the worker off within about 3 s.

--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -46,6 +46,7 @@
 	owner         *simNode // nil while there is no owner
 	epoch         uint64
 	term          uint64 // counts owner changes, including those in progress
+	termStartedAt time.Duration
 	pending       []*[]byte
 	lastCommitAt  time.Duration
 	log           [][]byte
@@ -66,8 +67,11 @@
 	started    map[api.RequestKey]int // starts of all tasks by request
 	taskStarts map[api.TaskID]int     // starts by task; starts in any attempt are also counted under attempt 0
 	done       map[api.TaskID]bool    // tasks that ran to completion
-	bodies     map[api.RequestKey][]byte
-	reported   map[api.RequestKey]api.State
+	addressed  map[api.TaskID]string  // the incarnation to which a task was dispatched
+	// issuedTokens holds the tokens in the reports of each incarnation.
+	issuedTokens map[string]map[int64]bool
+	bodies       map[api.RequestKey][]byte
+	reported     map[api.RequestKey]api.State
 	// accepted holds the keys of all requests that were ever recorded.
 	accepted map[api.RequestKey]bool
 	counts   map[string]int
@@ -200,6 +204,7 @@
 		case Propose:
 			s.propose(n, a)
 		case SendSync:
+			s.checkToken(a.Request.EchoIncarnation, a.Request.EchoToken)
 			w := s.worker(a.Worker)
 			s.call(w, 1500*ms, func(answer func(any)) { w.sync(a.Request, answer) }, func(r any) {
 				if r == nil {
@@ -305,6 +310,7 @@
 // pause.
 func (s *simulation) changeOwner(to *simNode) {
 	s.term++
+	s.termStartedAt = s.now
 	term := s.term
 	if old := s.owner; old != nil {
 		s.owner = nil
@@ -343,12 +349,35 @@
 	s.t.Fatalf("at %v: %s", s.now, fmt.Sprintf(format, args...))
 }
 
-// checkDispatch checks that a dispatched request is recorded and that the claim of a
-// non-idempotent request is committed before the dispatch.
+// checkDispatch checks that a dispatched request is recorded, that the claim of a
+// non-idempotent request is committed before the dispatch, and that a task is dispatched to one
+// incarnation only.
 func (s *simulation) checkDispatch(a SendDispatch) {
-	r := s.reference.records[a.Dispatch.Task.RequestKey]
-	if r == nil || r.Spec.NonIdempotent && r.attempt(a.Dispatch.Task.Attempt) == nil {
-		s.fatal("dispatch of %v before its record", a.Dispatch.Task)
+	id := a.Dispatch.Task
+	r := s.reference.records[id.RequestKey]
+	if r == nil || r.Spec.NonIdempotent && r.attempt(id.Attempt) == nil {
+		s.fatal("dispatch of %v before its record", id)
+	}
+	if before := s.addressed[id]; before != "" {
+		s.fatal("dispatch of %v to %s after one to %s", id, a.Dispatch.Incarnation, before)
+	}
+	s.addressed[id] = a.Dispatch.Incarnation
+	s.checkToken(a.Dispatch.Incarnation, a.Dispatch.Token)
+}
+
+// checkToken checks that a token on which a lease is based was issued by the incarnation that
+// the order names.
+func (s *simulation) checkToken(incarnation string, token int64) {
+	if token != 0 && !s.issuedTokens[incarnation][token] {
+		s.fatal("%s has not issued token %d", incarnation, token)
+	}
+}
+
+// countOrder counts an order that reaches another incarnation than the addressed one, which is
+// empty if the owner knew none.
+func (s *simulation) countOrder(kind string, w *modelWorker, addressed string) {
+	if addressed != "" && addressed != w.incarnation {
+		s.counts[kind+" of another incarnation"]++
 	}
 }
 
@@ -392,8 +421,13 @@
 	s.counts["start"]++
 }
 
-// checkAcknowledged checks that an end is acknowledged only after its record is committed.
-func (s *simulation) checkAcknowledged(id api.TaskID) {
+// checkAcknowledged checks that an end is acknowledged only after its record is committed, and
+// only by a sync that names the incarnation to which the task was dispatched, if that is the
+// receiver.
+func (s *simulation) checkAcknowledged(w *modelWorker, q api.SyncRequest, id api.TaskID) {
+	if s.addressed[id] == w.incarnation && q.EchoIncarnation != w.incarnation {
+		s.fatal("%v of %s acknowledged by a sync for %s", id, w.incarnation, q.EchoIncarnation)
+	}
 	r := s.reference.records[id.RequestKey]
 	if r == nil || r.State.IsFinal() {
 		return
@@ -499,6 +533,7 @@
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: time.Hour, counts: seen,
 		waiting: map[WaiterID]api.RequestKey{}, started: map[api.RequestKey]int{},
 		taskStarts: map[api.TaskID]int{}, done: map[api.TaskID]bool{},
+		addressed: map[api.TaskID]string{}, issuedTokens: map[string]map[int64]bool{},
 		bodies: map[api.RequestKey][]byte{}, reported: map[api.RequestKey]api.State{}, accepted: map[api.RequestKey]bool{},
 		loss:            rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss"),
 		duplication:     rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "dup"),
@@ -537,8 +572,8 @@
 }
 
 // weightedOps lists the operations of randomStep, each as often as its weight: submits (9),
-// cancels (7), and faults (0 to 6).
-var weightedOps = []int{9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 7, 7, 7, 0, 1, 1, 2, 3, 4, 5, 6}
+// cancels (7), faults (0 to 6), and several faults around one restart (8).
+var weightedOps = []int{9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 7, 7, 7, 0, 1, 1, 2, 3, 8, 4, 5, 6}
 
 // randomStep performs an operation of weightedOps.
 func (s *simulation) randomStep(op int) {
@@ -562,7 +597,7 @@
 	case 3:
 		w.pausedUntil = s.now + s.randomDuration(4*time.Second)
 	case 4:
-		w.partitionedUntil = s.now + s.randomDuration(5*time.Second)
+		s.cutOff(w)
 	case 5:
 		w.leaving = true
 		s.schedule(s.now+3*time.Second, func() { w.restart(s.randomDuration(time.Second)) })
@@ -573,6 +608,8 @@
 	case 7:
 		s.waiting[s.waiter] = k
 		s.deliverCall(Cancel{Waiter: s.waiter, WaitUntil: until, Key: k})
+	case 8:
+		s.restartBesideOwnerChange(w, n)
 	default:
 		s.waiting[s.waiter] = k
 		e := Submit{Waiter: s.waiter, WaitUntil: until, Route: api.Route{Name: "draft", Pool: "blue"}, NowUnixMillis: int64(s.now / ms)}
@@ -591,6 +628,29 @@
 	}
 }
 
+// cutOff loses the messages of a worker for a while.
+func (s *simulation) cutOff(w *modelWorker) {
+	if s.now-w.restartedAt < 3*time.Second && w.restartedAt < s.termStartedAt {
+		s.counts["restart, new owner, partition"]++
+	}
+	w.partitionedUntil = s.now + s.randomDuration(5*time.Second)
+}
+
+// restartBesideOwnerChange restarts a worker once or twice, changes the owner and cuts the worker
+// off, all within about 3 s and with late messages in half of the cases.
+func (s *simulation) restartBesideOwnerChange(w *modelWorker, n *simNode) {
+	if s.chance(0.5) {
+		s.slowUntil = s.now + s.randomDuration(time.Second)
+	}
+	w.restart(s.randomDuration(700 * ms))
+	if s.chance(0.3) {
+		s.schedule(s.now+s.randomDuration(1500*ms), func() { w.restart(s.randomDuration(700 * ms)) })
+	}
+	changeAt := s.now + s.randomDuration(2*time.Second)
+	s.schedule(changeAt, func() { s.changeOwner(n) })
+	s.schedule(changeAt+s.randomDuration(time.Second), func() { s.cutOff(w) })
+}
+
 func newReplica() *Partition {
 	return New(Config{Name: "north", Seed: 7, OutcomeRetention: 20 * time.Second}, newFirstFitScheduler)
 }
@@ -633,7 +693,9 @@
 		}
 	}
 	for _, what := range []string{"start", "end done", "end failed", "end not_run", "end unknown", "expired", "key_reused", "unknown_result",
-		"gang done", "gang failed", "gang not_run", "gang unknown", "wait for the gang"} {
+		"gang done", "gang failed", "gang not_run", "gang unknown", "wait for the gang", "restart, new owner, partition",
+		"dispatch of another incarnation", "revoke of another incarnation", "stop of another incarnation",
+		"sync of another incarnation", "acknowledgement of another incarnation"} {
 		if seen[what] == 0 {
 			t.Errorf("no run saw %q", what)
 		}
--- a/partition/worker_model_test.go
+++ b/partition/worker_model_test.go
@@ -20,6 +20,7 @@
 	pausedUntil      time.Duration
 	partitionedUntil time.Duration // messages are lost until then
 	processStarts    int
+	restartedAt      time.Duration
 	incarnation      string
 	epoch            uint64
 	leaseEnd         time.Duration // on the worker's clock
@@ -101,6 +102,7 @@
 	}
 	w.running, w.order = map[api.TaskID]api.DispatchRequest{}, nil
 	w.processStarts++
+	w.restartedAt = w.sim.now
 	w.incarnation = fmt.Sprintf("%s-%d", w.name, w.processStarts)
 	w.epoch, w.leaseEnd, w.leaving, w.pausedUntil = 0, 0, false, 0
 	w.clock = w.sim.newClock()
@@ -127,6 +129,7 @@
 }
 
 func (w *modelWorker) dispatch(d api.DispatchRequest) *api.DispatchResponse {
+	w.sim.countOrder("dispatch", w, d.Incarnation)
 	if d.Epoch < w.epoch {
 		return w.response(api.DispatchRefused, w.epoch)
 	}
@@ -181,6 +184,11 @@
 }
 
 func (w *modelWorker) command(c api.TaskCommand, revoke bool) *api.DispatchResponse {
+	kind := "stop"
+	if revoke {
+		kind = "revoke"
+	}
+	w.sim.countOrder(kind, w, w.sim.addressed[c.Task])
 	if c.Epoch < w.epoch {
 		return w.response(api.DispatchRefused, w.epoch)
 	}
@@ -199,13 +207,17 @@
 // sync renews the lease immediately. It answers immediately if it has ends to report, otherwise
 // after a random part of the waiting time.
 func (w *modelWorker) sync(q api.SyncRequest, answer func(any)) {
+	w.sim.countOrder("sync", w, q.EchoIncarnation)
+	if len(q.Acknowledged) > 0 {
+		w.sim.countOrder("acknowledgement", w, q.EchoIncarnation)
+	}
 	if q.Epoch >= w.epoch {
 		w.epoch, w.lastSync = q.Epoch, w.sim.now
 		if q.EchoIncarnation == w.incarnation {
 			w.leaseEnd = max(w.leaseEnd, time.Duration(q.EchoToken+q.LeaseMillis)*ms)
 		}
 		for _, id := range q.Acknowledged {
-			w.sim.checkAcknowledged(id)
+			w.sim.checkAcknowledged(w, q, id)
 			for i := range w.ends {
 				if w.ends[i].Task == id {
 					w.ends = append(w.ends[:i:i], w.ends[i+1:]...)
@@ -224,6 +236,10 @@
 func (w *modelWorker) report(q api.SyncRequest) *api.SyncResponse {
 	r := &api.SyncResponse{Worker: w.name, Incarnation: w.incarnation, Leaving: w.leaving}
 	r.Token = max(int64(w.localNow()/ms), 1)
+	if w.sim.issuedTokens[w.incarnation] == nil {
+		w.sim.issuedTokens[w.incarnation] = map[int64]bool{}
+	}
+	w.sim.issuedTokens[w.incarnation][r.Token] = true
 	if q.Epoch < w.epoch {
 		r.StaleEpoch = w.epoch
 		return r
