partition, standin: a command names the partition whose epoch it carries

Seen: a worker process that is started again under its name and address in a pool of another partition can receive revokes and stops that the former partition sent to its predecessor, late or until that partition notices the restart. It took their epoch as one of its own partition. If it was higher, the worker answered every sync of its owner as stale, so the owner gave up its partition, and so did each successor until the terms of its group had passed that number. If it was lower, the sender was told a higher epoch that nobody in its group had, and gave up its own.

Cause: api.TaskCommand had no partition, and epochs are the terms of unrelated raft groups. The stand-in worker compared the epoch with that of the partition that owned it at arrival.

Fix: revokes and stops name their partition, as dispatches and syncs do, and the worker keeps one highest epoch for each partition. A command of an owner of an earlier version has no partition and is handled as before. A worker that rejects unknown fields has to be updated first; until then its revokes and stops fail, and the reports of syncs resolve the attempts.

--- a/api/worker.go
+++ b/api/worker.go
@@ -132,6 +132,9 @@
 // has not started, a revoke makes the worker refuse it permanently and answer "refused";
 // otherwise the worker answers "started". A stop ends a running task.
 type TaskCommand struct {
-	Task  TaskID `json:"task"`
-	Epoch uint64 `json:"epoch"`
+	Task TaskID `json:"task"`
+	// Partition and Epoch are as in SyncRequest. An owner of an earlier version omits
+	// Partition; its epoch is then that of the partition that owns the worker.
+	Partition string `json:"partition,omitempty"`
+	Epoch     uint64 `json:"epoch"`
 }
--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -189,7 +189,7 @@
 		return
 	}
 	if w := a.worker; w.synced {
-		c := api.TaskCommand{Task: a.id, Epoch: o.epoch}
+		c := o.taskCommand(a.id)
 		if a.state == stateUncertain {
 			o.emit(SendRevoke{Worker: w.name, URL: w.announcement.URL, Command: c})
 		} else {
@@ -203,6 +203,11 @@
 	})
 }
 
+// taskCommand returns the body of a revoke or a stop.
+func (o *owner) taskCommand(id api.TaskID) api.TaskCommand {
+	return api.TaskCommand{Task: id, Partition: o.p.cfg.Name, Epoch: o.epoch}
+}
+
 // needsCommand reports whether the attempt still has to be revoked or stopped.
 func (a *attempt) needsCommand() bool {
 	return !a.endProposed && (a.state == stateUncertain || a.state == stateRunning && a.stopRequested)
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -633,6 +633,7 @@
 	h.commit()
 	h.step(DispatchAnswered{Worker: "w1", Task: h.dispatches[0].Dispatch.Task})
 	h.c.Assert(h.revokes, qt.HasLen, 1)
+	h.c.Assert(h.revokes[0].Command, qt.Equals, api.TaskCommand{Task: h.dispatches[0].Dispatch.Task, Partition: "north", Epoch: h.epoch})
 	answer := func(incarnation string) {
 		h.step(CommandAnswered{Worker: "w1", Task: h.dispatches[0].Dispatch.Task, Revoke: true,
 			Response: &api.DispatchResponse{State: api.DispatchRefused, Incarnation: incarnation}})
--- a/standin/command.go
+++ b/standin/command.go
@@ -26,8 +26,7 @@
 	})
 }
 
-// applyCommand calls f with mu held unless the epoch is stale. A command names no
-// partition, so its epoch is compared with that of the current owner.
+// applyCommand calls f with mu held unless the epoch is stale.
 func (inc *incarnation) applyCommand(c api.TaskCommand, f func(*task) api.DispatchResponse) (api.DispatchResponse, error) {
 	inc.mu.Lock()
 	defer inc.mu.Unlock()
@@ -35,7 +34,11 @@
 		return api.DispatchResponse{}, errEnded
 	}
 	t := inc.tasks[c.Task]
-	stale := inc.observeEpoch(inc.owner, c.Epoch)
+	partition := c.Partition
+	if partition == "" {
+		partition = inc.owner
+	}
+	stale := inc.observeEpoch(partition, c.Epoch)
 	if stale == 0 {
 		return f(t), nil
 	}
