partition, standin: a command names the incarnation that has the task

A stop was carried out by task ID alone: if the worker had moved to another partition whose epoch is the same, it ended the task of another request with the same caller, key and attempt. The partition owner ignores answers of an incarnation it has not addressed, so no wrong outcome at a caller is known.

Cause: dispatches and syncs name their incarnation, revokes and stops did not.

Fix: a revoke and a stop name the incarnation to which the task was dispatched. The life-cycle property checks that each command names that incarnation. A command of an owner of an earlier version names none and is handled as before.

TestSyncOfNextIncarnationStartsAnew is new: tokens and acknowledgements end with an incarnation.

--- a/api/worker.go
+++ b/api/worker.go
@@ -130,11 +130,15 @@
 
 // TaskCommand is the body of POST /v1/revoke and POST /v1/stop on a worker. If the task
 // has not started, a revoke makes the worker refuse it permanently and answer "refused";
-// otherwise the worker answers "started". A stop ends a running task.
+// otherwise the worker answers "started". A stop ends a running task. A worker that was
+// restarted since the dispatch and has no journal answers "unknown_task" to both.
 type TaskCommand struct {
 	Task TaskID `json:"task"`
 	// Partition and Epoch are as in SyncRequest. An owner of an earlier version omits
 	// Partition; its epoch is then that of the partition that owns the worker.
 	Partition string `json:"partition,omitempty"`
 	Epoch     uint64 `json:"epoch"`
+	// Incarnation is the one to which the task was dispatched. An owner of an earlier version
+	// omits it; the command is then for any incarnation.
+	Incarnation string `json:"incarnation,omitempty"`
 }
--- a/partition/attempt.go
+++ b/partition/attempt.go
@@ -189,7 +189,7 @@
 		return
 	}
 	if w := a.worker; w.synced {
-		c := o.taskCommand(a.id)
+		c := o.taskCommand(a.id, a.incarnation)
 		if a.state == stateUncertain {
 			o.emit(SendRevoke{Worker: w.name, URL: w.announcement.URL, Command: c})
 		} else {
@@ -203,9 +203,9 @@
 	})
 }
 
-// taskCommand returns the body of a revoke or a stop.
-func (o *owner) taskCommand(id api.TaskID) api.TaskCommand {
-	return api.TaskCommand{Task: id, Partition: o.p.cfg.Name, Epoch: o.epoch}
+// taskCommand returns the body of a revoke or a stop for the incarnation that has the task.
+func (o *owner) taskCommand(id api.TaskID, incarnation string) api.TaskCommand {
+	return api.TaskCommand{Task: id, Partition: o.p.cfg.Name, Epoch: o.epoch, Incarnation: incarnation}
 }
 
 // needsCommand reports whether the attempt still has to be revoked or stopped.
--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -421,6 +421,14 @@
 	s.counts["start"]++
 }
 
+// checkCommand checks that a revoke or a stop names the incarnation to which its task was
+// dispatched. A task that was claimed by an earlier owner may never have been dispatched.
+func (s *simulation) checkCommand(w *modelWorker, c api.TaskCommand) {
+	if id := s.addressed[c.Task]; id != "" && c.Incarnation != id || c.Incarnation == "" {
+		s.fatal("command about %v to %s names %q, dispatched to %q", c.Task, w.name, c.Incarnation, id)
+	}
+}
+
 // checkAcknowledged checks that an end is acknowledged only after its record is committed, and
 // only by a sync that names the incarnation to which the task was dispatched, if that is the
 // receiver.
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -366,6 +366,27 @@
 	h.c.Assert(h.status("k"), qt.Equals, api.StateDone)
 }
 
+// Guards against a sync that hands what was computed for one process on to the next one: its
+// token, and the ends that it reported.
+func TestSyncOfNextIncarnationStartsAnew(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", "i1")
+	_, id := h.startTask("k", nil)
+	h.token = 1000
+	h.answerSync("w1", "i1", withEnds(taskEnd(id, api.EndDone, "x")))
+	h.advance(maxAckDelay) // sends a sync
+	h.commit()             // the sync after that one is to acknowledge the end
+	h.token = 1
+	h.answerSync("w1", "i2", withRunning(id)) // the worker was restarted in the meantime
+	h.advance(unannouncedSyncInterval)
+	next := h.syncs["w1"].Request
+	h.c.Assert(next.EchoIncarnation, qt.Equals, "i2")
+	h.c.Assert(next.EchoToken, qt.Equals, int64(2))
+	h.c.Assert(next.Acknowledged, qt.HasLen, 0)
+	h.c.Assert(h.stops, qt.HasLen, 1)
+	h.c.Assert(h.stops[0].Command.Incarnation, qt.Equals, "i2")
+}
+
 // Guards against treating a refusal by a later process as proof that the addressed process did
 // not run the task.
 func TestRefusalByAnotherIncarnationIsIgnored(t *testing.T) {
@@ -633,7 +654,8 @@
 	h.commit()
 	h.step(DispatchAnswered{Worker: "w1", Task: h.dispatches[0].Dispatch.Task})
 	h.c.Assert(h.revokes, qt.HasLen, 1)
-	h.c.Assert(h.revokes[0].Command, qt.Equals, api.TaskCommand{Task: h.dispatches[0].Dispatch.Task, Partition: "north", Epoch: h.epoch})
+	h.c.Assert(h.revokes[0].Command, qt.Equals, api.TaskCommand{
+		Task: h.dispatches[0].Dispatch.Task, Partition: "north", Epoch: h.epoch, Incarnation: "i1"})
 	answer := func(incarnation string) {
 		h.step(CommandAnswered{Worker: "w1", Task: h.dispatches[0].Dispatch.Task, Revoke: true,
 			Response: &api.DispatchResponse{State: api.DispatchRefused, Incarnation: incarnation}})
--- a/partition/sync.go
+++ b/partition/sync.go
@@ -154,7 +154,7 @@
 		}
 		if a == nil || a.worker != w || a.incarnation != w.incarnation || a.state == stateLost {
 			foundUnallocated = true
-			o.emit(SendStop{Worker: w.name, URL: w.announcement.URL, Command: o.taskCommand(id)})
+			o.emit(SendStop{Worker: w.name, URL: w.announcement.URL, Command: o.taskCommand(id, w.incarnation)})
 			continue
 		}
 		o.confirmStart(now, a)
--- a/partition/worker_model_test.go
+++ b/partition/worker_model_test.go
@@ -188,10 +188,14 @@
 	if revoke {
 		kind = "revoke"
 	}
-	w.sim.countOrder(kind, w, w.sim.addressed[c.Task])
+	w.sim.countOrder(kind, w, c.Incarnation)
+	w.sim.checkCommand(w, c)
 	if c.Epoch < w.epoch {
 		return w.response(api.DispatchRefused, w.epoch)
 	}
+	if c.Incarnation != w.incarnation && !w.journal {
+		return w.response("unknown_task", 0)
+	}
 	if w.taskStates[c.Task] == "" && revoke {
 		w.taskStates[c.Task] = api.DispatchRefused
 	}
--- a/standin/command.go
+++ b/standin/command.go
@@ -8,6 +8,10 @@
 		if t != nil {
 			return t.knownResponse(inc)
 		}
+		if !inc.isAddressed(c) && !inc.hasReplayed {
+			// As for a dispatch: an earlier incarnation may have started the task.
+			return inc.response(dispatchUnknown, "other incarnation")
+		}
 		inc.refuse(c.Task, c.Epoch, "revoked", false)
 		return inc.response(api.DispatchRefused, "revoked")
 	})
@@ -19,6 +23,10 @@
 		if t == nil {
 			return inc.response(dispatchUnknown, "")
 		}
+		if t.state == taskRunning && !inc.isAddressed(c) {
+			// The task of the other incarnation has the same ID; it belongs to another partition.
+			return inc.response(dispatchUnknown, "other incarnation")
+		}
 		if t.state == taskRunning {
 			inc.stopTask(c.Task, t, reasonStop)
 		}
@@ -26,6 +34,12 @@
 	})
 }
 
+// isAddressed reports whether a command is for this incarnation. An owner of an earlier version
+// does not say which one it is for.
+func (inc *incarnation) isAddressed(c api.TaskCommand) bool {
+	return c.Incarnation == "" || c.Incarnation == inc.id
+}
+
 // applyCommand calls f with mu held unless the epoch is stale.
 func (inc *incarnation) applyCommand(c api.TaskCommand, f func(*task) api.DispatchResponse) (api.DispatchResponse, error) {
 	inc.mu.Lock()
--- a/standin/property_test.go
+++ b/standin/property_test.go
@@ -11,8 +11,9 @@
 )
 
 // Guards against a response that reports an attempt as refused although it starts at some
-// time, or as started although it never does, over random calls and restarts with journal
-// replay. The guarantees G4 and G5 depend on these responses.
+// time, or as started although it never does, over random calls and restarts. The guarantees
+// G4 and G5 depend on these responses. If a restart may omit the journal replay, each attempt is
+// dispatched to one incarnation only, which its revokes and stops name.
 func TestResponsesAgreeWithJournal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		must := func(err error) {
@@ -27,16 +28,28 @@
 		w, err := Start(Config{Worker: "w", Journal: path})
 		must(err)
 		reported := map[api.TaskID]string{}
+		mayForget := rapid.Bool().Draw(t, "restarts without replay")
+		addressed := map[api.TaskID]string{}
 		var sent []api.DispatchRequest
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			inc := w.current()
 			id := taskID(fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "key")), rapid.IntRange(1, 2).Draw(t, "attempt"))
 			epoch := uint64(rapid.IntRange(1, 3).Draw(t, "epoch"))
+			command := api.TaskCommand{Task: id, Partition: "n", Epoch: epoch}
+			if mayForget {
+				if addressed[id] == "" {
+					addressed[id] = inc.id
+				}
+				command.Incarnation = addressed[id]
+			}
 			var r api.DispatchResponse
 			switch rapid.IntRange(0, 5).Draw(t, "call") {
 			case 0:
 				d := newDispatch(inc, "", longRunBody)
 				d.Task, d.Epoch = id, epoch
+				if mayForget {
+					d.Incarnation = addressed[id]
+				}
 				d.LeaseMillis = rapid.SampledFrom([]int64{0, longLeaseMillis}).Draw(t, "lease")
 				sent = append(sent, d)
 				r, err = inc.dispatch(d)
@@ -48,13 +61,13 @@
 				id = d.Task
 				r, err = inc.dispatch(d)
 			case 2:
-				r, err = inc.revoke(api.TaskCommand{Task: id, Epoch: epoch})
+				r, err = inc.revoke(command)
 			case 3:
-				r, err = inc.stop(api.TaskCommand{Task: id, Epoch: epoch})
+				r, err = inc.stop(command)
 			case 4:
 				_, err = inc.sync(newSyncRequest(inc, epoch, id))
 			case 5:
-				err = w.Restart(true)
+				err = w.Restart(!mayForget || rapid.Bool().Draw(t, "replay"))
 			}
 			must(err)
 			if r.State == "" || r.State == dispatchUnknown {
