raft: tests deliver messages for a former node ID to the node with its address

The simulation dropped messages for a host that was replaced by one with an empty disk, so no test showed that the node at the same address ignores them: without the check of the recipient in Node.Step, all tests of the package and the disk-loss tests of cell passed. The property now delivers such messages to the replacement, and TestIgnoresMessagesToFormerIdentity fails without that check (for an append). No fault was found in the code.

--- a/raft/random_events_test.go
+++ b/raft/random_events_test.go
@@ -220,7 +220,7 @@
 // voterCount returns the number of voters in the membership on a disk of h.
 func voterCount(h *host, disk PersistentState) int { return len(New(h.cfg, disk, 0).membership.Voters) }
 
-// replaceHost replaces a host by one with an empty disk, which has a new ID.
+// replaceHost replaces a host by one with an empty disk, which has a new ID and the same address.
 func (r *randomCluster) replaceHost(t *rapid.T) {
 	h := r.pickHost(t)
 	if r.joinedHosts >= 2 {
@@ -232,8 +232,9 @@
 	h.disk, h.diskBackup = PersistentState{}, nil
 	r.joinedHosts++
 	r.ids = slices.DeleteFunc(r.ids, func(id NodeID) bool { return id == h.cfg.ID })
-	r.hosts[h.cfg.ID] = &host{cfg: h.cfg, clockRate: 1} // stays down
-	r.addHost(Config{ID: NodeID(fmt.Sprintf("n%d", r.joinedHosts))})
+	id := NodeID(fmt.Sprintf("n%d", r.joinedHosts))
+	r.addHost(Config{ID: id})
+	r.hosts[h.cfg.ID] = &host{cfg: h.cfg, clockRate: 1, successor: r.hosts[id]} // stays down
 }
 
 // proposeChange proposes a membership change that is valid for a random host: a node that
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -155,6 +155,19 @@
 	quicktest.Assert(t, n.log.commit, quicktest.Equals, uint64(2))
 }
 
+// A node with an emptied disk has the address of its predecessor, whose ID it must not answer for:
+// it has neither the votes nor the entries of that node.
+func TestIgnoresMessagesToFormerIdentity(t *testing.T) {
+	for kind := MsgPreVote; kind <= MsgTimeoutNow; kind++ {
+		n := New(Config{ID: "v1#2", Group: "g"}, PersistentState{}, 10*time.Second)
+		drainReady(n)
+		before := n.Status()
+		n.Step(n.now, Message{Kind: kind, Group: "g", From: "v2", To: "v1#1", Term: 3, Index: 5, LogTerm: 3, StartCount: 1})
+		quicktest.Assert(t, drainReady(n), quicktest.HasLen, 0, quicktest.Commentf("kind %d", kind))
+		quicktest.Assert(t, n.Status(), quicktest.DeepEquals, before, quicktest.Commentf("kind %d", kind))
+	}
+}
+
 // The states that a leader has observed are lost when it fails, unless it has sent them to
 // the other voters.
 func TestObservedStatesAreShared(t *testing.T) {
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -20,8 +20,9 @@
 	diskBackup *PersistentState // an old copy of the disk
 	pending    *Ready           // the Ready that was returned and is not yet synced
 	paused     bool
-	isolated   bool // the network drops all messages from and to this host
-	rolledBack bool // an old copy of the disk was restored
+	isolated   bool  // the network drops all messages from and to this host
+	rolledBack bool  // an old copy of the disk was restored
+	successor  *host // the host that has its address since it was replaced; nil if it was not
 }
 
 // localTime converts a simulation time to the time of the host's clock.
@@ -165,12 +166,16 @@
 	return a.Index == b.Index && a.Term == b.Term && a.Kind == b.Kind && bytes.Equal(a.Data, b.Data)
 }
 
-// deliver removes message i from the network and passes it to its recipient or drops it.
+// deliver removes message i from the network and passes it to its recipient or drops it. If the
+// recipient was replaced, the host that has its address receives the message.
 func (c *cluster) deliver(i int) {
 	m := c.network[i]
 	c.network[i] = c.network[len(c.network)-1]
 	c.network = c.network[:len(c.network)-1]
 	from, to := c.hosts[m.From], c.hosts[m.To]
+	for to != nil && to.successor != nil {
+		to = to.successor
+	}
 	lost := from.isolated || to == nil || to.isolated || c.blockedLinks[[2]NodeID{m.From, m.To}]
 	if lost || to.node == nil || c.rng.Float64() < c.lossRate {
 		return
