dispatch: a task waits while a run of it that no claim names is being stopped

Found by the review: a report lists a run that no claim names, such as one of a late start, and the leader stops it, which takes up to the stop timeout (400 ms). In that time it placed the task elsewhere, as the log has it waiting: two runs of a task that the leader knew of.

Such a task does not count as waiting now until the end of the run is listed, and a claim of it that was proposed before is withdrawn when it is committed.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -66,8 +66,10 @@
 	isStartUnknown bool
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
-	isListed  bool
-	startedAt time.Duration // when the claim was added
+	isListed bool
+	// isUnclaimed is set if the log does not have the claim: a worker reported the run.
+	isUnclaimed bool
+	startedAt   time.Duration // when the claim was added
 	// latenessWhenPlaced is the lateness of its step when the claim was made; inTime if an earlier
 	// leader made it.
 	latenessWhenPlaced lateness
@@ -135,6 +137,10 @@
 	if c.origin != nil {
 		c.origin.movedClaims--
 	}
+	if c.isUnclaimed {
+		s.unclaimedRuns--
+		s.staleJobs[c.key.task.Job] = true // the task may be placed again
+	}
 	if c.step != nil {
 		s.allocatedCPU[c.poolPriority] -= c.allocation().MilliCPU
 		s.removeUsage(c)
@@ -155,7 +161,9 @@
 	}
 	s.record(Decision{Event: "unclaimed run found", Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.info.Name})
 	c := s.addClaim(key.task, key.run, w, step, claimRunning)
-	c.isStartUnknown = true
+	c.isStartUnknown, c.isUnclaimed = true, true
+	s.unclaimedRuns++
+	s.staleJobs[key.task.Job] = true
 	s.sendStop(c, "not claimed")
 	return c
 }
@@ -172,7 +180,7 @@
 		s.removeClaim(c) // the job ended before the claim was applied, so the state ignored it
 		return
 	}
-	if c.worker.isOver || c.worker.isLeaving || s.workers[c.worker.info.Number] != c.worker || c.worker.hasSuccessor {
+	if c.worker.isOver || c.worker.isLeaving || s.workers[c.worker.info.Number] != c.worker || c.worker.hasSuccessor || s.hasUnclaimedRun(op.Task) {
 		s.proposeEnd(op.Task, op.Run, job.EndNotStarted, op.Checkpoint)
 		s.removeClaim(c)
 		return
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -158,18 +158,31 @@
 }
 
 // waitingTasks returns the indexes of the tasks of a step that have no claim, committed or
-// proposed, and are not done.
+// proposed, and are not done. A task of which a run that no claim names is being stopped does not wait.
 func (s *Scheduler) waitingTasks(r *readyStep) []uint16 {
 	var out []uint16
 	for i := range r.step.Count {
 		ref := job.TaskRef{StepRef: r.ref, Index: uint16(i)}
-		if (r.state == nil || r.state.Tasks[i].Phase == job.Waiting) && !s.proposedClaims[ref] {
+		if (r.state == nil || r.state.Tasks[i].Phase == job.Waiting) && !s.proposedClaims[ref] && !s.hasUnclaimedRun(ref) {
 			out = append(out, uint16(i))
 		}
 	}
 	return out
 }
 
+// hasUnclaimedRun reports whether a run of a task that no claim names may still be running.
+func (s *Scheduler) hasUnclaimedRun(ref job.TaskRef) bool {
+	if s.unclaimedRuns == 0 {
+		return false
+	}
+	for _, c := range s.claimsByJob[ref.Job] {
+		if c.isUnclaimed && c.key.task == ref {
+			return true
+		}
+	}
+	return false
+}
+
 // criticalPathMillis returns the estimated duration, in milliseconds, of the longest chain of
 // dependent steps among the steps with an index of at least from; 0 means the whole job.
 func criticalPathMillis(spec *job.Spec, from int) int64 {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -47,6 +47,7 @@
 	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
 	claims          map[claimKey]*claim
 	claimsByJob     map[job.ID]map[claimKey]*claim
+	unclaimedRuns   int                  // claims with isUnclaimed
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
 	reservations    map[job.StepRef]*reservation
@@ -124,7 +125,7 @@
 	s.queuedCalls, s.actions, s.ops = nil, nil, nil
 	s.ready, s.ordered, s.staleJobs, s.wakeUps = map[job.ID][]*readyStep{}, nil, map[job.ID]bool{}, nil
 	s.loads, s.knowsLoads, s.meanWork = map[string]*poolLoad{}, false, map[string]*shortage.MeanWork{}
-	s.lastGeneration, s.settled = 0, nil
+	s.lastGeneration, s.settled, s.unclaimedRuns = 0, nil, 0
 	s.nextPass, s.nextWorkerScan, s.nextClaimScan, s.examined = 0, 0, 0, 0
 	for _, proxy := range s.proxies {
 		proxy.call = nil
