dispatch, cell: claims of earlier leaders and unanswered starts wait for an incarnation that nobody knows of

Found by the review of: a worker starts again, takes a start for its former incarnation with the longest lease and is cut off before anybody hears of it. The leader waited for that, but not a leader that takes over, and not if a report had listed the run while another copy of its start was late.

Each replica notes when it learned of a claim, so a new leader knows which starts the former one may just have sent: such a claim on a silent worker waits until the longest lease after that has ended. A claim with an unanswered order counts as one that is not listed.

The property across restarts now begins after 2 to 22 s, so that workers are settled in some draws.

--- a/cell/host.go
+++ b/cell/host.go
@@ -139,6 +139,7 @@
 	if err := h.state.Restore(data); err != nil {
 		return err
 	}
+	h.scheduler.Restored(h.node.eventLoop.Now())
 	h.node.log.Info("snapshot restored", zap.Int("bytes", len(data)), zap.Int64("version", h.state.Config().Version))
 	return nil
 }
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -67,6 +67,9 @@
 	// isListed is set once a report of the worker, which names its incarnation, has listed the
 	// run. The reply to a start does not name the incarnation that sent it.
 	isListed bool
+	// isAdopted is set if an earlier leader made the claim. learnedAt is then when this replica learned of it.
+	isAdopted bool
+	learnedAt time.Duration
 	// isUnclaimed is set if the log does not have the claim: a worker reported the run.
 	isUnclaimed bool
 	startedAt   time.Duration // when the claim was added
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,6 +21,7 @@
 	lastSerial int
 	state      *job.State
 	sched      *Scheduler
+	follower   *Scheduler // of a replica that follows the log and never leads
 	term       uint64
 	noLeader   bool // there is no leader now
 	// lastCommitAt is when the newest proposed batch is committed. truncatedTerm is the newest term
@@ -91,6 +94,7 @@
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), state: job.NewState(), workers: map[string]*fakeWorker{}, faults: f, adviceLatency: 50 * time.Millisecond,
 		ackedDone: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, gangs: map[gangKey][]*fakeRun{},
 		claimedAt: map[claimKey]time.Duration{}, slowdown: map[job.ID]float64{}}
+	c.follower = New(c.settings(), c.state, func(Decision) {})
 	c.electLeader()
 	c.schedule(0, c.scheduleTicks)
 	return c
@@ -177,6 +181,7 @@
 	c.term++
 	c.noLeader = false
 	c.sched = New(c.settings(), c.state, c.recordDecision)
+	c.sched.learned = c.follower.learned.clone() // it has followed the log until now
 	if c.onLeader != nil {
 		c.onLeader(c.sched)
 	}
@@ -243,6 +248,7 @@
 		for _, op := range ops {
 			c.state.Apply(op)
 			c.noteLimits(op)
+			c.follower.Applied(c.now, op)
 			if !c.noLeader {
 				c.measure(func() { c.sched.Applied(c.now, op) })
 			}
@@ -367,3 +373,7 @@
 		c.runScheduler()
 	})
 }
+
+func (l *learnedClaims) clone() learnedClaims {
+	return learnedClaims{maps.Clone(l.at), slices.Clone(l.order), l.restoredAt}
+}
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -231,7 +231,7 @@
 // one, may last there as long as the longest lease that workers grant.
 func (s *Scheduler) extendLeases(a, b *worker) {
 	if a.info.Address == b.info.Address {
-		end := s.now + s.maxElapsed(s.settings.MaxLease)
+		end := s.now + s.maxElapsed(s.longestLease())
 		a.extendLease(end, leaseOfRestart)
 		b.extendLease(end, leaseOfRestart)
 	}
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -322,7 +322,7 @@
 		})
 		workers := rapid.IntRange(3, 5).Draw(rt, "workers")
 		c.setUp(workers, rapid.Bool().Draw(rt, "advised"))
-		c.run(2 * time.Second)
+		c.run(time.Duration(rapid.IntRange(2, 22).Draw(rt, "warm-up")) * time.Second) // then the workers may be settled
 		for i := range rapid.IntRange(2, 12).Draw(rt, "jobs") {
 			step := newStep(rapid.IntRange(1, 5).Draw(rt, "tasks"), int64(500+700*(i%4)), int64(rapid.IntRange(500, 14_000).Draw(rt, "estimate")))
 			c.schedule(time.Duration(i)*400*time.Millisecond, func() { c.submit(job.ID(i+1), step) })
@@ -330,9 +330,9 @@
 		for range rapid.IntRange(1, 4).Draw(rt, "restarts") {
 			c.drawRestart(rt, workers)
 		}
-		c.run(25 * time.Second)
+		c.run(c.now + 23*time.Second)
 		c.faults = faults{}
-		c.run(150 * time.Second)
+		c.run(c.now + 125*time.Second)
 		if len(c.violations) > 0 {
 			task, _, _ := strings.Cut(strings.SplitN(c.violations[0], ": ", 3)[1], " ")
 			rt.Fatalf("broken rules: %v\n%s\n%s", c.violations, c.traceOf(task), c.traceOf("worker"))
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -47,6 +47,7 @@
 	workersByNumber []*worker            // cache of sortedWorkers, nil if it has to be rebuilt
 	claims          map[claimKey]*claim
 	claimsByJob     map[job.ID]map[claimKey]*claim
+	learned         learnedClaims
 	unclaimedRuns   int                  // claims with isUnclaimed
 	proposedClaims  map[job.TaskRef]bool // tasks with a claim that is not committed
 	advice          map[job.StepRef]*advice
@@ -110,6 +111,9 @@
 	return s
 }
 
+// Restored is called when the state has been replaced by a snapshot.
+func (s *Scheduler) Restored(now time.Duration) { s.learned = learnedClaims{restoredAt: now} }
+
 // Reset drops the soft state, because the node has lost the leadership or restored a snapshot.
 func (s *Scheduler) Reset(state *job.State) {
 	s.state, s.leading = state, false
@@ -210,7 +214,8 @@
 		s.proposeEnd(ref, run, job.EndLost, "")
 		return
 	}
-	s.addClaim(ref, run, w, step, claimAdopted).isStartUnknown = true
+	c := s.addClaim(ref, run, w, step, claimAdopted)
+	c.isStartUnknown, c.isAdopted, c.learnedAt = true, true, s.learned.claimedAt(c.key)
 }
 
 // advanceClock sets the time to that of an event. Otherwise a reply that arrives between two
@@ -331,6 +336,9 @@
 
 // Applied handles an operation that the caller has applied to the state.
 func (s *Scheduler) Applied(now time.Duration, op job.Op) {
+	if op.Claim != nil {
+		s.learned.add(now, claimKey{op.Claim.Task, op.Claim.Run}, orderTransit+s.maxElapsed(s.longestLease()))
+	}
 	if !s.leading {
 		return
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -202,13 +202,18 @@
 	}
 }
 
-// loseExpiredClaims loses the claims on a worker whose lease has ended. The starts that no report has listed
-// may have been taken by a next incarnation, which is silent since; those wait until its lease has ended.
+// loseExpiredClaims loses the claims on a worker whose lease has ended. A start that no report has listed, or
+// of which a copy may still be on its way, may have been taken by a next incarnation, which is silent since.
+// Such claims wait until its lease has ended.
 func (s *Scheduler) loseExpiredClaims(w *worker) {
-	isOverEverywhere := s.now >= w.leaseOrderedAt+orderTransit+s.maxElapsed(s.longestLease())
 	lost := 0
 	for _, c := range w.claims {
-		if c.phase != claimProposed && (isOverEverywhere || c.isListed || c.phase == claimAdopted) {
+		orderedAt := w.leaseOrderedAt
+		if c.isAdopted {
+			orderedAt = c.learnedAt
+		}
+		isListed := c.isListed && c.retries == 0
+		if c.phase != claimProposed && (isListed || s.now >= orderedAt+orderTransit+s.maxElapsed(s.longestLease())) {
 			s.loseClaim(c)
 			lost++
 		}
