--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -23,6 +23,23 @@
 	c.schedule(d, func() { c.workers[address].isPartitioned = false })
 }
 
+// submitWithholdingStart submits a job and runs the cluster until its first start is sent, which is withheld.
+func (c *cluster) submitWithholdingStart(qc *qt.C, step job.Step) *Start {
+	var withheld *Start
+	c.onOrder = func(a Action) bool {
+		if start, ok := a.(Start); ok && withheld == nil {
+			withheld = &start
+			return false
+		}
+		return true
+	}
+	c.submit(1, step)
+	for end := c.now + time.Second; withheld == nil; c.run(c.now + time.Millisecond) {
+		qc.Assert(c.now < end, qt.IsTrue)
+	}
+	return withheld
+}
+
 // newClusterWithKeptOrders returns a cluster of two workers with two runs of 20 s on one of them. It
 // collects the orders that are sent to that worker from then on, which are carried out as well.
 func newClusterWithKeptOrders(c *qt.C) (*cluster, *fakeWorker, *[]Action) {
@@ -153,18 +170,7 @@
 	k := newCluster(1, faults{})
 	k.setUp(2, false)
 	k.run(2 * time.Second)
-	var withheld *Start
-	k.onOrder = func(a Action) bool {
-		if start, ok := a.(Start); ok && withheld == nil {
-			withheld = &start
-			return false
-		}
-		return true
-	}
-	k.submit(1, newStep(1, 1000, 1000))
-	for ; withheld == nil; k.run(k.now + time.Millisecond) {
-		c.Assert(k.now < 3*time.Second, qt.IsTrue)
-	}
+	withheld := k.submitWithholdingStart(c, newStep(1, 1000, 1000))
 	next := k.workers[withheld.Worker.Address].restart()
 	stops := 0
 	k.onOrder = func(a Action) bool {
--- a/dispatch/unseen_restart_test.go
+++ b/dispatch/unseen_restart_test.go
@@ -41,17 +41,9 @@
 	k := newCluster(1, faults{})
 	k.setUp(2, false)
 	k.run(20 * time.Second)
-	var withheld *Start
-	k.onOrder = func(a Action) bool {
-		if start, ok := a.(Start); ok && withheld == nil {
-			withheld = &start
-			k.schedule(600*time.Millisecond, func() { k.sched.Started(k.now, start, NoReply) }) // it is held up on its way
-			return false
-		}
-		return true
-	}
-	k.submit(1, newStep(1, 1000, 20_000))
-	k.run(k.now + 3*time.Second) // the repeated start runs and is listed
+	withheld := k.submitWithholdingStart(c, newStep(1, 1000, 20_000))
+	k.schedule(600*time.Millisecond, func() { k.sched.Started(k.now, *withheld, NoReply) }) // it is held up on its way
+	k.run(k.now + 3*time.Second)                                                            // the repeated start runs and is listed
 	key := claimKey{withheld.Task, withheld.Run}
 	claim := k.sched.claims[key]
 	c.Assert(claim, qt.IsNotNil)
@@ -73,17 +65,7 @@
 	k := newCluster(1, faults{})
 	k.setUp(2, false)
 	k.run(20 * time.Second)
-	var withheld *Start
-	k.onOrder = func(a Action) bool {
-		if start, ok := a.(Start); ok && withheld == nil {
-			withheld = &start
-			return false
-		}
-		return true
-	}
-	k.submit(1, newStep(1, 1000, 20_000))
-	for ; withheld == nil; k.run(k.now + time.Millisecond) {
-	}
+	withheld := k.submitWithholdingStart(c, newStep(1, 1000, 20_000))
 	second := k.workers[withheld.Worker.Address].restart()
 	for k.sched.newest(second.info.Name).info.StartedMillis != second.info.StartedMillis || !k.sched.newest(second.info.Name).hasReported {
 		k.run(k.now + time.Millisecond)
