dispatch: the runs that a report lists are collected in one place

reconcile and transferClaims built the same set and checked for a full report each on its own; both ask the report now. Two tests of an incarnation that nobody knows of share their setup. The comments on fencing tokens name the second reason for a new generation, a worker that has not answered. No change of behaviour; no check of a test is changed.

--- a/dispatch/fence.go
+++ b/dispatch/fence.go
@@ -3,7 +3,8 @@
 // A worker does nothing for an order with a lower fencing token than it has seen, and all
 // incarnations of a worker get their orders under one name and address. So a token is the term of the
 // leader with the generation of the incarnation below it, and the first order to an incarnation makes
-// its process refuse all orders for earlier ones that arrive later.
+// its process refuse all orders for earlier ones that arrive later. A worker that has not answered gets a
+// new generation too, since it may have started again.
 
 // generationBits is the number of bits of a fencing token below the term. Tokens stay below 2^53, the
 // largest range of integers that all JSON decoders keep, up to term 2^29.
@@ -23,8 +24,8 @@
 	w.generation = s.lastGeneration
 }
 
-// isOutdated reports whether an order to a worker incarnation is one that its worker may refuse because
-// of orders that this leader has sent to another incarnation of it.
+// isOutdated reports whether this leader may have sent the worker an order with a higher token since: for
+// another incarnation, or with a newer generation.
 func (s *Scheduler) isOutdated(o Order, w *worker) bool {
 	return w.isOver || w.hasSuccessor || o.FencingToken != s.fencingToken(w)
 }
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -182,19 +182,12 @@
 // incarnation, and stops their runs there. From the order that its first report answers, it refuses orders
 // for the earlier one, so the starts that the report does not list cannot reach it any more.
 func (s *Scheduler) transferClaims(old, successor *worker, r Report) {
-	listed := make(map[claimKey]bool, len(r.Running)+len(r.Ended))
-	for _, run := range r.Running {
-		listed[claimKey{run.Task, run.Run}] = true
-	}
-	for _, e := range r.Ended {
-		listed[claimKey{e.Task, e.Run}] = true
-	}
-	isFull := len(r.Ended) >= maxEndsPerReport // a missing run may be among the ends that it omits
+	listed := r.listed()
 	for _, c := range old.claims {
 		if c.phase == claimProposed {
 			continue
 		}
-		if !listed[c.key] && !isFull {
+		if !listed[c.key] && !r.isFull() {
 			s.loseClaim(c)
 			continue
 		}
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -40,6 +40,20 @@
 	return withheld
 }
 
+// newClusterWithUnknownIncarnation returns a cluster of which a worker has started again unannounced, has taken a
+// start for its previous incarnation if that arrived in time, and has been cut off for 15 s. It also returns
+// the next incarnation.
+func newClusterWithUnknownIncarnation(c *qt.C, seed uint64) (*cluster, *fakeWorker) {
+	k, _, next := newClusterRestartedAtPlacement(c, seed, 20*time.Second, newStep(1, 1000, 20_000))
+	k.cutOff(next.info.Address, 2*time.Millisecond) // its first announcement is lost
+	k.run(k.now + 2*time.Millisecond)
+	for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
+		k.run(k.now + time.Millisecond)
+	}
+	k.cutOff(next.info.Address, 15*time.Second)
+	return k, next
+}
+
 // newClusterWithKeptOrders returns a cluster of two workers with two runs of 20 s on one of them. It
 // collects the orders that are sent to that worker from then on, which are carried out as well.
 func newClusterWithKeptOrders(c *qt.C) (*cluster, *fakeWorker, *[]Action) {
@@ -243,16 +257,10 @@
 	c := qt.New(t)
 	reached := 0
 	for seed := range uint64(20) {
-		k, _, next := newClusterRestartedAtPlacement(c, seed, 20*time.Second, newStep(1, 1000, 20_000))
-		k.cutOff(next.info.Address, 2*time.Millisecond) // its first announcement is lost
-		k.run(k.now + 2*time.Millisecond)
-		for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
-			k.run(k.now + time.Millisecond)
-		}
+		k, next := newClusterWithUnknownIncarnation(c, seed)
 		if len(next.runs) > 0 {
 			reached++
 		}
-		k.cutOff(next.info.Address, 15*time.Second)
 		k.run(k.now + 60*time.Second)
 		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
 		c.Check(k.openJobCount(), qt.Equals, 0)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -115,6 +115,21 @@
 	Ended         []EndedRun
 }
 
+// listed returns the runs that the report lists as running or as ended.
+func (r *Report) listed() map[claimKey]bool {
+	listed := make(map[claimKey]bool, len(r.Running)+len(r.Ended))
+	for _, run := range r.Running {
+		listed[claimKey{run.Task, run.Run}] = true
+	}
+	for _, e := range r.Ended {
+		listed[claimKey{e.Task, e.Run}] = true
+	}
+	return listed
+}
+
+// isFull reports whether the report may omit ends, so that a missing run may be among them.
+func (r *Report) isFull() bool { return len(r.Ended) >= maxEndsPerReport }
+
 // Reply is the result of an order.
 type Reply uint8
 
--- a/dispatch/unseen_restart_test.go
+++ b/dispatch/unseen_restart_test.go
@@ -16,16 +16,10 @@
 	c := qt.New(t)
 	reached := 0
 	for seed := range uint64(20) {
-		k, _, next := newClusterRestartedAtPlacement(c, seed, 20*time.Second, newStep(1, 1000, 20_000))
-		k.cutOff(next.info.Address, 2*time.Millisecond) // its first announcement is lost
-		k.run(k.now + 2*time.Millisecond)
-		for end := k.now + 50*time.Millisecond; len(next.runs) == 0 && k.now < end; {
-			k.run(k.now + time.Millisecond)
-		}
+		k, next := newClusterWithUnknownIncarnation(c, seed)
 		if len(next.runs) > 0 {
 			reached++
 		}
-		k.cutOff(next.info.Address, 15*time.Second)
 		k.failover(500 * time.Millisecond)
 		k.run(k.now + 60*time.Second)
 		c.Check(k.violations, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, k.traceOf("")))
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -342,22 +342,19 @@
 // reconcile compares the runs in a worker's report with the claims on the worker. A claim whose
 // run the report must list but does not list is released.
 func (s *Scheduler) reconcile(w *worker, requestedAt time.Duration, r Report) {
-	listed := make(map[claimKey]bool, len(r.Running)+len(r.Ended))
 	for _, run := range r.Running {
-		key := claimKey{run.Task, run.Run}
-		listed[key] = true
-		s.reconcileRunning(w, key, run)
+		s.reconcileRunning(w, claimKey{run.Task, run.Run}, run)
 	}
 	for _, e := range r.Ended {
-		listed[claimKey{e.Task, e.Run}] = true
 		s.reconcileEnded(w, e)
 	}
 	if w.uncommittedEnd > 0 {
 		s.propose(job.Op{EndsCommitted: &job.EndsCommitted{Worker: w.info.Number, UpTo: w.uncommittedEnd}})
 	}
-	if len(r.Ended) >= maxEndsPerReport {
-		return // the report is full; a missing run may be among the ends that it omits
+	if r.isFull() {
+		return
 	}
+	listed := r.listed()
 	for key, c := range w.claims {
 		if !listed[key] && c.mustBeInReport(requestedAt) {
 			s.record(Decision{Event: "run not listed", Job: key.task.Job, Task: key.task, Run: key.run, Worker: w.info.Name, Reason: c.phase.String()})
