--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -331,7 +331,7 @@
 	wg.Wait()
 }
 
-// draining lets half of the starts be carried out late while a worker begins to drain.
+// draining lets half of the orders to workers be carried out late while a worker begins to drain.
 func draining(rec *recorder, trouble bool) (bool, error) {
 	d, err := deploy(rec, 8, urgentQueue, normalQueue, batchQueue)
 	if err != nil {
@@ -342,7 +342,7 @@
 	var broken atomic.Int64
 	for _, w := range d.workers {
 		w.late = func(call string) (bool, time.Duration) {
-			if call != "run-start" || time.Now().UnixMilli() > until.Load() || rand.Float64() >= 0.5 {
+			if time.Now().UnixMilli() > until.Load() || rand.Float64() >= 0.5 {
 				return false, 0
 			}
 			return true, 2*time.Second + time.Duration(rand.Int64N(int64(10*time.Second)))
@@ -356,7 +356,7 @@
 	}
 	if trouble {
 		until.Store(time.Now().Add(5500 * time.Millisecond).UnixMilli())
-		rec.say("half of the starts get no answer and are carried out late, for 5.5 s")
+		rec.say("half of the orders to workers get no answer and are carried out late, for 5.5 s")
 	}
 	for range 6 {
 		j := newJob(urgentQueue, step{Count: 60, CPU: 400, Memory: 400, Estimate: 1500}, 1500)
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -84,6 +84,7 @@
 	Memory      int64 `json:"mem_mb"`
 	Estimate    int64 `json:"estimate_ms,omitempty"`
 	LongRunning bool  `json:"long_running,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
 }
 
 func newJob(q queue, s step, taskMillis int) *job {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 	"cancelled":       cancelled,
 	"draining":        draining,
 	"unreadable":      unreadable,
+	"large-gang":      largeGang,
 }
 
 // maxDuration is the longest time that a case may take.
