--- a/review/standin-2/worker.go
+++ b/review/standin-2/platform/worker.go
@@ -37,6 +37,7 @@
 	leaseEnd  time.Time
 	running   map[string]*taskRun
 	lastEnded map[string]int64
+	done      map[string]bool // tasks of which a run here is done
 	finished  []end
 	lastEnd   int64
 	changed   chan struct{}
@@ -74,7 +75,7 @@
 func newWorker(sys *system, number int, cpu, memory int64) (*worker, error) {
 	w := &worker{rec: sys.rec, sys: sys, id: fmt.Sprintf("i-%08x", rand.Uint32()), address: fmt.Sprintf("%s:8080", sys.ip(100+number)),
 		labels: []string{"a", fmt.Sprintf("r-%d", number/2)}, cpu: cpu, memory: memory, born: time.Now(), stopped: make(chan struct{}),
-		running: map[string]*taskRun{}, lastEnded: map[string]int64{}, changed: make(chan struct{})}
+		running: map[string]*taskRun{}, lastEnded: map[string]int64{}, done: map[string]bool{}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return nil, err
@@ -232,6 +233,7 @@
 	}
 	delete(w.running, r.task)
 	w.lastEnded[r.task] = max(w.lastEnded[r.task], r.number)
+	w.done[r.task] = w.done[r.task] || how == "done"
 	w.lastEnd++
 	w.finished = append(w.finished, end{w.lastEnd, r.task, r.number, how})
 	w.rec.add("%s: END of %s run %d: %s", w.id, r.task, r.number, how)
