dispatch: runs of ended jobs are stopped under any leader

Cause: a stop is sent when the cancel or the last failure is applied, and that it still has to arrive is soft state of that leader. The log keeps the claims until their ends are reported, so the next leader adopted them, took them for running claims at the first report and renewed their leases.

Change: reconcileRunning stops a listed run whose job has ended. That follows from the log and the report, so it holds for each next leader.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -364,7 +364,8 @@
 	}
 }
 
-// reconcileRunning handles a run that a worker reports as running.
+// reconcileRunning handles a run that a worker reports as running. If its job has ended, the run is
+// stopped: a leader that takes over finds such runs, since stops are not in the log.
 func (s *Scheduler) reconcileRunning(w *worker, key claimKey, run RunningTask) {
 	c := s.claims[key]
 	if c == nil || c.worker != w {
@@ -378,6 +379,9 @@
 	if run.Checkpoint != "" {
 		c.checkpoint = run.Checkpoint
 	}
+	if !c.isEnding() && s.openJob(key.task.Job) == nil {
+		s.sendStop(c, "job has ended")
+	}
 }
 
 // reconcileEnded handles a run that a worker reports as ended.
--- a/dispatch/worker_model_test.go
+++ b/dispatch/worker_model_test.go
@@ -309,6 +309,9 @@
 		w.cluster.joinGang(r)
 		return
 	}
+	if step.LongRunning {
+		return
+	}
 	r.work, r.beganAt = w.cluster.workOf(key.task, step), w.cluster.now
 	if done, err := time.ParseDuration(o.Checkpoint); err == nil {
 		r.doneBefore = done - restoreTime
