partition: a new owner stops the tasks of cancelled requests

A request whose cancel is durable runs on until its task ends by itself if the owner changes before the stop arrives. A repeated cancel only waits.

Cause: inheritAttempt did not mark the attempt as to be stopped. Gangs and attempts without a durable claim were marked.

Change: the inherited attempt of a cancelled request is to be stopped.

Test: TestNewOwnerStopsCancelledRequest (no stop was sent before).

--- a/partition/owner.go
+++ b/partition/owner.go
@@ -158,6 +158,7 @@
 		id:                api.TaskID{RequestKey: l.key, Attempt: a.Number},
 		state:             stateUncertain,
 		dispatchExpiresAt: o.inheritedLeaseEnd,
+		stopRequested:     l.cancelRequested,
 	}
 	if a.End == attemptLost {
 		inherited.state = stateLost
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -725,6 +725,30 @@
 	}
 }
 
+// Guards against a cancelled request that runs on under a new owner, since the stop that the previous owner
+// sent did not arrive.
+func TestNewOwnerStopsCancelledRequest(t *testing.T) {
+	for _, isNonIdempotent := range []bool{false, true} {
+		h := newHarness(t)
+		h.addWorker("w1", "i1")
+		_, id := h.startTask("k", func(s *Submit) { s.Request.NonIdempotent = isNonIdempotent })
+		h.cancel("k")
+		h.commit()
+		h.becomeOwner()
+		h.stops = nil
+		h.step(WorkerAnnounced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue", Slots: 8, Capacity: api.Resources{MilliCPU: 8000}}})
+		h.answerSync("w1", "i1", withRunning(id))
+		h.commit()
+		h.c.Assert(h.stops, qt.HasLen, 1)
+		h.c.Assert(h.stops[0].Command.Task, qt.Equals, id)
+		w := h.cancel("k")
+		h.answerSync("w1", "i1", withEnds(taskEnd(id, api.EndStopped, "")))
+		h.commit()
+		h.c.Assert(h.replies[w].Status.State, qt.Equals, api.StateFailed)
+		h.c.Assert(h.dispatches, qt.HasLen, 0)
+	}
+}
+
 // Guards against deleting outcomes by local time, which would make replicas diverge.
 func TestOutcomeExpiresByCommand(t *testing.T) {
 	h := newHarness(t)
