--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -57,7 +57,7 @@
 				k.setUp(4, false)
 				k.onOrder = k.loseStop
 				k.run(2 * time.Second)
-				k.submit(1, newStep(6, 1000, 120_000), newStep(1, 1000, 500))
+				k.submit(1, newStep(6, 1000, 120_000), newStep(1, 1000, 500)) // the second step fails within seconds
 				if outcome == job.Canceled {
 					k.schedule(500*time.Millisecond, func() { k.propose([]job.Op{{Cancel: &job.Cancel{ID: 1}}}) })
 				}
--- a/partition/rules_test.go
+++ b/partition/rules_test.go
@@ -109,14 +109,19 @@
 // nonIdempotent makes a request non-idempotent.
 func nonIdempotent(s *Submit) { s.Request.NonIdempotent = true }
 
-// addWorker announces a worker and answers its first sync. It commits the record of the
-// announcement unless other commands wait for a commit.
-func (h *harness) addWorker(name, incarnation string) {
-	idle := len(h.log) == 0
+// announce announces a worker.
+func (h *harness) announce(name, incarnation string) {
 	h.step(WorkerAnnounced{api.Announcement{
 		Worker: name, Incarnation: incarnation, URL: "http://" + name, Pool: "blue", Slots: 8,
 		Capacity: api.Resources{MilliCPU: 8000},
 	}})
+}
+
+// addWorker announces a worker and answers its first sync. It commits the record of the
+// announcement unless other commands wait for a commit.
+func (h *harness) addWorker(name, incarnation string) {
+	idle := len(h.log) == 0
+	h.announce(name, incarnation)
 	h.answerSync(name, incarnation, nil)
 	if idle {
 		h.commit()
@@ -713,7 +718,7 @@
 			h.commit()
 		}
 		h.becomeOwner()
-		h.step(WorkerAnnounced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue", Slots: 8, Capacity: api.Resources{MilliCPU: 8000}}})
+		h.announce("w1", "i1")
 		h.answerSync("w1", "i1", withRunning(id))
 		h.commit()
 		h.c.Assert(h.status("k"), qt.Equals, api.StateRunning)
@@ -736,7 +741,7 @@
 		h.commit()
 		h.becomeOwner()
 		h.stops = nil
-		h.step(WorkerAnnounced{api.Announcement{Worker: "w1", Incarnation: "i1", URL: "u", Pool: "blue", Slots: 8, Capacity: api.Resources{MilliCPU: 8000}}})
+		h.announce("w1", "i1")
 		h.answerSync("w1", "i1", withRunning(id))
 		h.commit()
 		h.c.Assert(h.stops, qt.HasLen, 1)
