--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -59,18 +59,18 @@
 				k.run(2 * time.Second)
 				k.submit(1, newStep(6, 1000, 120_000), newStep(1, 1000, 500)) // the second step fails within seconds
 				if outcome == job.Canceled {
-					k.schedule(500*time.Millisecond, func() { k.propose([]job.Op{{Cancel: &job.Cancel{ID: 1}}}) })
+					k.schedule(500*time.Millisecond, func() { k.cancel(1) })
 				}
 				k.run(10 * time.Second)
 				c.Assert(k.state.Job(1).Outcome, qt.Equals, outcome)
 				for range changes {
 					k.electLeader()
 					k.run(k.now + 500*time.Millisecond)
-					c.Assert(k.runCount(1), qt.Equals, 6)
+					c.Assert(k.runsOnWorkers(1), qt.Equals, 6)
 				}
 				k.onOrder = nil
 				k.run(k.now + 2*time.Second)
-				c.Assert(k.runCount(1), qt.Equals, 0, qt.Commentf("%s", k.traceOf("")))
+				c.Assert(k.runsOnWorkers(1), qt.Equals, 0, qt.Commentf("%s", k.traceOf("")))
 				c.Assert(k.sched.claims, qt.HasLen, 0)
 			})
 		}
@@ -86,8 +86,8 @@
 	return !isStop
 }
 
-// runCount returns the number of runs of a job on all workers.
-func (c *cluster) runCount(id job.ID) int {
+// runsOnWorkers returns the number of runs of a job on all workers.
+func (c *cluster) runsOnWorkers(id job.ID) int {
 	n := 0
 	for _, w := range c.workers {
 		for key := range w.runs {
@@ -142,7 +142,7 @@
 		c.faults = faults{}
 		c.run(32*time.Second + stableWindow + c.settings().StopTimeout) // orders are up to 12 s late
 		for i := range services {
-			if n := c.runCount(job.ID(i + 1)); n > 0 {
+			if n := c.runsOnWorkers(job.ID(i + 1)); n > 0 {
 				rt.Fatalf("%d tasks of job %d, which is %v, run\n%s", n, i+1, c.state.Job(job.ID(i+1)).Outcome, c.traceOf(""))
 			}
 		}
