--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 	"lasting-headroom":   lastingHeadroom,
 	"route-renamed":      routeRenamed,
 	"config-trailing":    configTrailing,
+	"tenant-held":        tenantHeld,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -56,6 +56,7 @@
 	workers            []*worker
 	network            string // first three octets of its addresses
 	client, opClient   *http.Client
+	key                string // of the tenant of the clients, empty if the configuration has none
 	nextEntry, nextOps int
 }
 
@@ -238,14 +239,28 @@
 	Slack    float64 `json:"slack_factor"`
 }
 
+type tenant struct {
+	Name     string         `json:"name"`
+	Keys     []string       `json:"api_keys"`
+	Weight   float64        `json:"weight"`
+	MaxCount map[string]int `json:"max_count"`
+}
+
 func newRoute(name, prefix string, priority int) route {
 	return route{name, host, prefix, "unsafe", 3000, 3000, priority, service, 4, 2}
 }
 
-func config(version int, routes ...route) []byte {
-	raw, err := json.Marshal(map[string]any{"version": version, "routes": routes,
+func config(version int, routes ...route) []byte { return configWithTenants(version, nil, routes...) }
+
+// configWithTenants returns a configuration. Without tenants calls need no key.
+func configWithTenants(version int, tenants []tenant, routes ...route) []byte {
+	message := map[string]any{"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 64, "proto": "h1", "tls": false, "admission_check": false, "standby": false}},
-		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+	if tenants != nil {
+		message["tenants"] = tenants
+	}
+	raw, err := json.Marshal(message)
 	if err != nil {
 		panic(err)
 	}
@@ -276,6 +291,9 @@
 	if hostHeader != "" {
 		req.Host = hostHeader
 		req.Header.Set("Deadline-Ms", "3000")
+		if s.key != "" {
+			req.Header.Set("Authorization", "Bearer "+s.key)
+		}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
@@ -306,6 +324,7 @@
 	EstimateMS   int  `json:"estimate_ms,omitempty"`
 	LongRunning  bool `json:"long_running,omitempty"`
 	AntiAffinity int  `json:"anti_affinity,omitempty"`
+	Gang         bool `json:"gang,omitempty"`
 }
 
 type jobSpec struct {
