--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 	"lasting-headroom":   lastingHeadroom,
 	"route-renamed":      routeRenamed,
 	"config-trailing":    configTrailing,
+	"gang-reservations":  gangReservations,
 	"tenant-held":        tenantHeld,
 }
 
