--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,12 +24,11 @@
 type scenario func(s *system, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"lasting-quarantine": lastingQuarantine,
-	"lasting-headroom":   lastingHeadroom,
-	"route-renamed":      routeRenamed,
-	"config-trailing":    configTrailing,
-	"gang-reservations":  gangReservations,
-	"tenant-held":        tenantHeld,
+	"route-renamed": routeRenamed,
+	"late-sign-off": lateSignOff,
+	"late-ping":     latePing,
+	"same-name":     sameName,
+	"version-zero":  versionZero,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -20,10 +20,9 @@
 }
 
 type jobRecord struct {
-	id, path    string
-	spec        jobSpec
-	accepted    time.Duration // 0 if it was not
-	cancelAcked time.Duration // 0 if it was not
+	id, path string
+	spec     jobSpec
+	accepted time.Duration // 0 if it was not
 }
 
 type taskRecord struct{ runs []*runRecord }
