--- a/cell/serve.go
+++ b/cell/serve.go
@@ -176,10 +176,31 @@
 	}
 }
 
-func (h *replicaHost) cancel(id job.ID, q *job.Queue, account string, done func(Reply)) {
+// jobForCaller returns the job with an ID if callers of the queue and the account may see and change it,
+// or nil.
+func (h *replicaHost) jobForCaller(id job.ID, q *job.Queue, account string) *job.Job {
 	j := h.state.Job(id)
+	if j == nil {
+		return nil
+	}
+	reason := ""
 	switch {
-	case j == nil || j.Queue.Name != q.Name || !isVisible(j, account):
+	case j.Queue.Name != q.Name:
+		reason = "on another route"
+	case !isVisible(j, account):
+		reason = "of another account"
+	default:
+		return j
+	}
+	h.node.log.Info("job hidden from a caller", zap.Stringer("job", id), zap.String("reason", reason), zap.String("route", q.Name),
+		zap.String("job_route", j.Queue.Name), zap.Stringer("outcome", j.Outcome), zap.Int64("version", h.state.Config().Version))
+	return nil
+}
+
+func (h *replicaHost) cancel(id job.ID, q *job.Queue, account string, done func(Reply)) {
+	j := h.jobForCaller(id, q, account)
+	switch {
+	case j == nil:
 		done(Reply{Code: NoJob})
 	case j.Outcome != job.Open:
 		done(Reply{Code: OK})
@@ -189,8 +210,8 @@
 }
 
 func (h *replicaHost) query(id job.ID, q *job.Queue, account string, done func(Reply)) {
-	j := h.state.Job(id)
-	if j == nil || j.Queue.Name != q.Name || !isVisible(j, account) {
+	j := h.jobForCaller(id, q, account)
+	if j == nil {
 		done(Reply{Code: NoJob})
 		return
 	}
