cell, job, dispatch: jobs belong to the location of their route, not to its name

Seen: a configuration that renames a route hides the accepted jobs of it.

Cause: the leader compared the name of the queue that a call selects with the name that the job's queue had when the job was accepted. Callers know a job by host, prefix and id; the name is a label that the operator may change.

Change: State.QueueOf returns the queue at the location where the job was submitted or, if there is none any more, the one with its name (it was moved). Cancel, state, submit, the pending count and the pool of waiting tasks use it. A Submit names its queue in the configuration that will be in force when it is applied, since a name may belong to another location by then; the job was stored on that other route.

--- a/cell/host.go
+++ b/cell/host.go
@@ -29,6 +29,10 @@
 	proposals        map[uint64]proposal // by log index
 	// submitting holds the calls that wait for a job's Submit to be applied.
 	submitting map[job.ID][]submission
+	// proposedConfig is the newest configuration that this leader has proposed and that is not applied yet,
+	// nil if there is none. afterConfig is called when it is applied or lost.
+	proposedConfig *job.Config
+	afterConfig    []func()
 	// signOffs holds the callbacks of the sign-offs that the scheduler has not confirmed, by number of
 	// the worker incarnation.
 	signOffs map[uint32][]func(Reply)
@@ -69,6 +73,9 @@
 			h.logJobEnd(op.End)
 		}
 		h.scheduler.Applied(now, op)
+		if p := h.proposedConfig; p != nil && op.Config != nil && op.Config.Version >= p.Version {
+			h.proposedConfigDecided()
+		}
 	}
 	if p, ok := h.proposals[e.Index]; ok {
 		delete(h.proposals, e.Index)
@@ -213,6 +220,7 @@
 	for _, done := range lost {
 		done(false)
 	}
+	h.proposedConfigDecided()
 	for number := range h.signOffs {
 		h.confirmSignOff(number, Reply{Code: Interrupted})
 	}
@@ -257,6 +265,15 @@
 	h.pendingOps, h.pendingCallbacks = nil, nil
 }
 
+// proposedConfigDecided handles that the newest proposed configuration has been applied, or may be lost.
+func (h *replicaHost) proposedConfigDecided() {
+	waiting := h.afterConfig
+	h.proposedConfig, h.afterConfig = nil, nil
+	for _, fn := range waiting {
+		fn()
+	}
+}
+
 // completeWithoutEntry calls the pending callbacks of changes that needed no operation.
 func (h *replicaHost) completeWithoutEntry() {
 	done := h.pendingCallbacks
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if c.Kind == CountPending || c.Kind == QueryJob && c.Path == q.Prefix {
-		done(Reply{Code: OK, Pending: h.scheduler.PendingJobs(q.Name)})
+		done(Reply{Code: OK, Pending: h.scheduler.PendingJobs(q)})
 		return
 	}
 	if c.Kind == ExplainJob {
@@ -92,24 +92,32 @@
 
 // submission is a call that waits for the Submit of its job to be applied.
 type submission struct {
-	call    Call
-	queue   string // that the call selected
-	account string // of the call's key, empty if the call needed none and has none
-	done    func(Reply)
+	location job.Location // of the queue that the call selected
+	account  string       // of the call's key, empty if the call needed none and has none
+	done     func(Reply)
 }
 
-// submit replies when the job is stored. It serves the call again if a configuration that was applied
-// before the Submit has removed its queue, in which case the Submit has stored nothing.
+// submit replies when the job is stored.
 func (h *replicaHost) submit(id job.ID, q *job.Queue, account string, c Call, done func(Reply)) {
-	s := submission{c, q.Name, account, done}
+	s := submission{q.Location(), account, done}
 	if j := h.state.Job(id); j != nil {
-		s.reply(j)
+		s.reply(j, h.state.QueueOf(j) == q)
 		return
 	}
 	if err := checkSpec(c); err != nil {
 		done(Reply{Code: BadCall, Text: err.Error()})
 		return
 	}
+	// A Submit names its queue, and the name has to be that of the configuration in which it will be applied.
+	name := q.Name
+	if p := h.proposedConfig; p != nil {
+		next := p.QueueAt(q.Location())
+		if next == nil {
+			h.afterConfig = append(h.afterConfig, func() { h.serve(h.node.eventLoop.Now(), c, done) })
+			return
+		}
+		name = next.Name
+	}
 	if waiters, ok := h.submitting[id]; ok {
 		h.submitting[id] = append(waiters, s)
 		return
@@ -124,7 +132,7 @@
 	}
 	h.submitting[id] = []submission{s}
 	h.propose(func(committed bool) { h.submitApplied(id, committed) },
-		job.Op{Submit: &job.Submit{ID: id, Queue: q.Name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
+		job.Op{Submit: &job.Submit{ID: id, Queue: name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
 }
 
 // checkSpec returns an error if a call has no valid job.
@@ -151,23 +159,18 @@
 	delete(h.submitting, id)
 	for _, s := range waiters {
 		j := h.state.Job(id)
-		switch {
-		case !committed:
+		if !committed || j == nil {
 			s.done(Reply{Code: Interrupted})
-		case j != nil:
-			s.reply(j)
-		default:
-			h.node.log.Info("job not stored; its route was removed meanwhile", zap.Stringer("job", id),
-				zap.String("route", s.queue), zap.Int64("version", h.state.Config().Version))
-			h.serve(h.node.eventLoop.Now(), s.call, s.done)
+			continue
 		}
+		s.reply(j, j.Queue.Location() == s.location)
 	}
 }
 
-// reply replies from the stored job with the call's ID.
-func (s submission) reply(j *job.Job) {
+// reply replies from the stored job with the call's ID, which belongs to the call's queue or to another one.
+func (s submission) reply(j *job.Job, isSameQueue bool) {
 	switch {
-	case j.Queue.Name != s.queue:
+	case !isSameQueue:
 		s.done(Reply{Code: Conflict, Text: "this id is in use on another route"})
 	case !isVisible(j, s.account):
 		s.done(Reply{Code: Conflict, Text: "this id is in use by another account"})
@@ -185,7 +188,7 @@
 	}
 	reason := ""
 	switch {
-	case j.Queue.Name != q.Name:
+	case h.state.QueueOf(j) != q:
 		reason = "on another route"
 	case !isVisible(j, account):
 		reason = "of another account"
@@ -247,6 +250,9 @@
 		done(Reply{Code: OK})
 		return
 	}
+	if p := h.proposedConfig; p == nil || c.Version > p.Version {
+		h.proposedConfig = c
+	}
 	h.propose(replyOnCommit(done, Reply{Code: OK}), job.Op{Config: c})
 }
 
--- a/cell/submit_test.go
+++ b/cell/submit_test.go
@@ -44,8 +44,8 @@
 	return Call{Kind: SubmitJob, Host: "h", Path: path, Spec: spec}
 }
 
-// Guards against a job that its caller is told is accepted and that is not stored, because a
-// configuration before it in the log removes its route.
+// Guards against a job that its caller is told is accepted and that is not stored, or is stored on another
+// route, because a configuration before it in the log removes or renames its route.
 func TestSubmitBehindRemovalOfItsRoute(t *testing.T) {
 	const path = "/d/00000000000000aa"
 	for name, test := range map[string]struct {
@@ -55,6 +55,8 @@
 		"removed": {map[string]string{"other": "/o/"}, NoQueue},
 		"renamed": {map[string]string{"drafts-2": "/d/"}, OK},
 		"kept":    {map[string]string{"drafts": "/d/", "other": "/o/"}, OK},
+		"moved":   {map[string]string{"drafts": "/m/"}, NoQueue},
+		"swapped": {map[string]string{"other": "/d/", "drafts": "/o/"}, OK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tc := newTestCell(t, 3)
@@ -94,3 +96,21 @@
 	tc.c.Check(replies[1].Code, qt.Equals, OK)
 	tc.onEventLoop(tc.leader(), func(h *replicaHost) { tc.c.Check(h.state.Job(0xaa), qt.IsNotNil) })
 }
+
+// Guards against a submission that gets no reply because it waits for a configuration that is lost with the
+// leadership.
+func TestSubmitBehindLostConfiguration(t *testing.T) {
+	tc := newTestCell(t, 3)
+	n := tc.nodes[tc.leader()].node
+	tc.c.Assert(forwardCall(n, Call{Kind: PutConfig, Config: testConfig(1)}).Code, qt.Equals, OK)
+	replies := make(chan Reply, 2)
+	tc.onEventLoop(tc.leader(), func(h *replicaHost) {
+		now, reply := h.node.eventLoop.Now(), func(r Reply) { replies <- r }
+		h.serve(now, Call{Kind: PutConfig, Config: testConfigWith(2, map[string]string{"other": "/o/"})}, reply)
+		h.serve(now, submitCall("/d/00000000000000aa"), reply)
+		h.group.Node.StepDown()
+		h.updateLeadership(now)
+	})
+	tc.c.Check((<-replies).Code, qt.Equals, Interrupted)
+	tc.c.Check((<-replies).Code, qt.Equals, NotLeader)
+}
--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -58,10 +58,10 @@
 	return out
 }
 
-// poolOf returns the pool of a job's queue in the current configuration, or the one at the time
-// the job was accepted if the queue no longer exists.
+// poolOf returns the pool of the queue to which a job belongs, or that of its queue at the time the job was
+// accepted if there is none any more.
 func (s *Scheduler) poolOf(j *job.Job) string {
-	if q := s.state.Queue(j.Queue.Host, j.Queue.Prefix); q != nil && q.Name == j.Queue.Name {
+	if q := s.state.QueueOf(j); q != nil {
 		return q.Pool
 	}
 	return j.Queue.Pool
--- a/dispatch/pending_test.go
+++ b/dispatch/pending_test.go
@@ -37,13 +37,13 @@
 		}
 	}
 	c.Assert(started, qt.Not(qt.HasLen), 0)
-	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 1)
+	c.Assert(k.sched.PendingJobs(&k.state.Config().Queues[0]), qt.Equals, 1)
 
 	last := started[len(started)-1]
 	k.sched.addClaim(last.Task, last.Run+1, k.sched.workers[1], &k.state.Job(7).Spec.Steps[0], claimSent)
 	last.Run++
 	k.sched.Started(k.now, last, Accepted)
-	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 0)
+	c.Assert(k.sched.PendingJobs(&k.state.Config().Queues[0]), qt.Equals, 0)
 }
 
 // Guards against counting a job as pending again under a new leader after one of its runs has ended.
@@ -56,5 +56,25 @@
 	k.submit(8, newStep(1, 1000, 300), job.Step{Count: 1, TaskResources: job.Resources{MilliCPU: 99_000}, EstimateMillis: 1, DependsOn: []int{0}})
 	k.run(4 * time.Second)
 	k.sched = New(k.settings(), k.state, k.recordDecision)
-	c.Assert(k.sched.PendingJobs("drafts"), qt.Equals, 0)
+	c.Assert(k.sched.PendingJobs(&k.state.Config().Queues[0]), qt.Equals, 0)
+}
+
+// Guards against a job that waits for good because its route was renamed when it got another pool, and against
+// one that is missing in the count of the renamed route.
+func TestWaitingJobFollowsItsRenamedRoute(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1, faults{})
+	k.setUp(1, false)
+	pools := []job.Pool{{Name: "desk"}, {Name: "empty"}}
+	queue := k.state.Config().Queues[0]
+	queue.Pool = "empty"
+	k.state.Apply(job.Op{Config: &job.Config{Version: 2, Queues: []job.Queue{queue}, Pools: pools}})
+	k.submit(7, newStep(1, 1000, 300))
+	k.run(4 * time.Second)
+	c.Assert(k.openJobCount(), qt.Equals, 1)
+	queue.Name, queue.Pool = "drawings", "desk"
+	k.state.Apply(job.Op{Config: &job.Config{Version: 3, Queues: []job.Queue{queue}, Pools: pools}})
+	c.Check(k.sched.PendingJobs(&k.state.Config().Queues[0]), qt.Equals, 1)
+	k.run(8 * time.Second)
+	c.Check(k.openJobCount(), qt.Equals, 0)
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -323,11 +323,12 @@
 // HasStarted reports whether a task of a job has started, as far as this leader knows.
 func (s *Scheduler) HasStarted(j *job.Job) bool { return j.Started || s.startedJobs[j.ID] }
 
-// PendingJobs returns the number of open jobs of a queue that have not started.
-func (s *Scheduler) PendingJobs(queue string) int {
+// PendingJobs returns the number of open jobs that belong to a queue of the current configuration and have
+// not started.
+func (s *Scheduler) PendingJobs(q *job.Queue) int {
 	n := 0
 	s.state.OpenJobs(func(j *job.Job) {
-		if j.Queue.Name == queue && !s.HasStarted(j) {
+		if s.state.QueueOf(j) == q && !s.HasStarted(j) {
 			n++
 		}
 	})
--- a/job/config.go
+++ b/job/config.go
@@ -1,6 +1,10 @@
 package job
 
-import "github.com/pkg/errors"
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
 
 // AdvisorConfig describes the latency of calls to a queue's advisor and the validity of its
 // tickets. A queue that has an advisor starts a task only with a valid ticket.
@@ -49,6 +53,12 @@
 	Accounts    []Account `cbor:"6,keyasint,omitempty"`
 }
 
+// Location is where callers reach a queue. A configuration has at most one queue at each location.
+type Location struct{ Host, Prefix string }
+
+// Location returns the location of the queue.
+func (q *Queue) Location() Location { return Location{q.Host, q.Prefix} }
+
 // Check returns an error if a pool is defined twice, a queue names an unknown pool, two queues have
 // the same host and prefix, or an account is invalid.
 func (c *Config) Check() error {
@@ -59,36 +69,51 @@
 		}
 		pools[p.Name] = true
 	}
-	type location struct{ host, prefix string }
-	routesByLocation := map[location]string{}
+	routesByLocation := map[Location]string{}
 	for _, q := range c.Queues {
 		if !pools[q.Pool] {
 			return errors.Errorf("route %q names the unknown pool %q", q.Name, q.Pool)
 		}
-		loc := location{q.Host, q.Prefix}
-		if other, taken := routesByLocation[loc]; taken {
+		if other, taken := routesByLocation[q.Location()]; taken {
 			return errors.Errorf("routes %q and %q have the same host and prefix", other, q.Name)
 		}
-		routesByLocation[loc] = q.Name
+		routesByLocation[q.Location()] = q.Name
 	}
 	return checkAccounts(c.Accounts)
 }
 
-// queueIndex holds the queues of each host.
-type queueIndex map[string][]*Queue
+// QueueAt returns the queue at a location, or nil.
+func (c *Config) QueueAt(l Location) *Queue {
+	if i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Location() == l }); i >= 0 {
+		return &c.Queues[i]
+	}
+	return nil
+}
+
+// queueIndex finds the queues of a configuration.
+type queueIndex struct {
+	byHost     map[string][]*Queue
+	byLocation map[Location]*Queue
+	byName     map[string]*Queue // the first of each name
+}
 
 func newQueueIndex(queues []Queue) queueIndex {
-	index := queueIndex{}
+	x := queueIndex{map[string][]*Queue{}, map[Location]*Queue{}, map[string]*Queue{}}
 	for i := range queues {
-		index[queues[i].Host] = append(index[queues[i].Host], &queues[i])
+		q := &queues[i]
+		x.byHost[q.Host] = append(x.byHost[q.Host], q)
+		x.byLocation[q.Location()] = q
+		if x.byName[q.Name] == nil {
+			x.byName[q.Name] = q
+		}
 	}
-	return index
+	return x
 }
 
 // find returns the queue with the longest prefix of path at a host, or nil.
 func (x queueIndex) find(host, path string) *Queue {
 	var best *Queue
-	for _, q := range x[host] {
+	for _, q := range x.byHost[host] {
 		if len(path) >= len(q.Prefix) && path[:len(q.Prefix)] == q.Prefix && (best == nil || len(q.Prefix) > len(best.Prefix)) {
 			best = q
 		}
--- a/job/state.go
+++ b/job/state.go
@@ -22,7 +22,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{jobs: map[ID]*Job{}, openJobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}, queues: queueIndex{}}
+	return &State{jobs: map[ID]*Job{}, openJobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}}
 }
 
 // Config returns the current configuration. Its version is 0 before the first one is applied.
@@ -31,6 +31,16 @@
 // Queue returns the queue with the longest prefix of path at a host, or nil.
 func (s *State) Queue(host, path string) *Queue { return s.queues.find(host, path) }
 
+// QueueOf returns the queue of the current configuration to which a job belongs, or nil. It is the one at
+// the location where the job was submitted, since that is how callers refer to the job, whatever its name.
+// If there is none, it is the one with the name that the job's queue had: that queue has been moved.
+func (s *State) QueueOf(j *Job) *Queue {
+	if q := s.queues.byLocation[j.Queue.Location()]; q != nil {
+		return q
+	}
+	return s.queues.byName[j.Queue.Name]
+}
+
 // Job returns a job, or nil.
 func (s *State) Job(id ID) *Job { return s.jobs[id] }
 
@@ -168,12 +178,9 @@
 	if s.jobs[o.ID] != nil {
 		return
 	}
-	for i := range s.config.Queues {
-		if q := s.config.Queues[i]; q.Name == o.Queue {
-			j := &Job{ID: o.ID, Queue: q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis, Account: o.Account}
-			s.jobs[o.ID], s.openJobs[o.ID] = j, j
-			return
-		}
+	if q := s.queues.byName[o.Queue]; q != nil {
+		j := &Job{ID: o.ID, Queue: *q, Spec: o.Spec, AcceptedMillis: o.AcceptedMillis, Account: o.Account}
+		s.jobs[o.ID], s.openJobs[o.ID] = j, j
 	}
 }
 
