job, cell, dispatch: a first configuration may have any version

Seen: a first configuration of version 0 is answered 200 and never in force. Negative versions do the same.

Cause: version 0 stood for "no configuration" wherever versions are compared. The leader took the configuration for one that is in force and proposed nothing: no keeper logged "configuration applied", and the leadership did not change. The state and the reads would have ignored it too.

Change: the state knows whether a configuration has been applied, and compares versions only then. What the scheduler derives from the configuration is recomputed when that is another one. Earlier builds ignore such an operation, so keepers announce the format of operations that they apply, and a leader answers a first version below 1 with 503 while a registered keeper has announced none or a voter that is not silent has not registered.

--- a/cell/members.go
+++ b/cell/members.go
@@ -24,7 +24,21 @@
 // selfMember returns the member record of this VM.
 func (h *replicaHost) selfMember() *job.Member {
 	s := h.node.settings
-	return &job.Member{Address: s.Address, NodeID: string(h.group.Node.ID()), FailureDomain: s.FailureDomain, Region: s.Region, PublicAddress: s.PublicAddress}
+	return &job.Member{Address: s.Address, NodeID: string(h.group.Node.ID()), FailureDomain: s.FailureDomain, Region: s.Region, PublicAddress: s.PublicAddress,
+		Format: job.NewestFormat}
+}
+
+// cannotApply returns why an operation of a format must not be proposed, or "" if all replicas apply it.
+func (h *replicaHost) cannotApply(format uint32) (reason string) {
+	h.state.Members(func(m job.Member) {
+		if m.Format < format {
+			reason = m.Address + " runs an earlier build"
+		}
+	})
+	if reason != "" {
+		return reason
+	}
+	return h.membershipView(h.node.eventLoop.Now()).unregisteredVoter()
 }
 
 // join records that a VM is alive, registers it if it is a new or changed keeper, and
@@ -137,6 +151,16 @@
 	return desired
 }
 
+// unregisteredVoter says which voter may still register. One that is silent counts as lost.
+func (v membershipView) unregisteredVoter() string {
+	for _, id := range v.current.Voters {
+		if !v.registered[id] && !v.hasLostDisk(id) && v.silence(id) < voterSilenceTimeout {
+			return string(id) + " has not registered"
+		}
+	}
+	return ""
+}
+
 // missingVoters returns, sorted, the reasons why the group tolerates fewer losses than it
 // should; none if it has its number of voters and all of them are present.
 func (v membershipView) missingVoters() []string {
--- a/cell/messages.go
+++ b/cell/messages.go
@@ -75,11 +75,13 @@
 	// Overloaded means that the job was rejected because there is too little capacity to finish it
 	// while its result is of use.
 	Overloaded
+	// NotReady means that not all VMs can carry out the call yet and nothing was done.
+	NotReady
 )
 
 // String returns the name of the code in logs and metrics.
 func (c Code) String() string {
-	names := [...]string{"none", "ok", "not_leader", "interrupted", "no_config", "no_queue", "no_job", "bad_call", "conflict", "unavailable", "unknown", "unauthenticated", "limit_exceeded", "overloaded"}
+	names := [...]string{"none", "ok", "not_leader", "interrupted", "no_config", "no_queue", "no_job", "bad_call", "conflict", "unavailable", "unknown", "unauthenticated", "limit_exceeded", "overloaded", "not_ready"}
 	if int(c) < len(names) {
 		return names[c]
 	}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -25,7 +25,7 @@
 	case PutConfig:
 		h.putConfig(c.Config, done)
 	case GetConfig:
-		if h.state.Config().Version == 0 {
+		if !h.state.HasConfig() {
 			done(Reply{Code: NoConfig})
 			return
 		}
@@ -42,7 +42,7 @@
 // serveCaller serves a caller's request about one queue. The queue, the key and the account are those
 // of the configuration that this replica has applied, so a change is in force with its commit.
 func (h *replicaHost) serveCaller(c Call, done func(Reply)) {
-	if h.state.Config().Version == 0 {
+	if !h.state.HasConfig() {
 		done(Reply{Code: NoConfig})
 		return
 	}
@@ -246,10 +246,17 @@
 		done(Reply{Code: BadCall, Text: err.Error()})
 		return
 	}
-	if c.Version <= h.state.Config().Version {
+	if !h.state.Supersedes(c) {
 		done(Reply{Code: OK})
 		return
 	}
+	if c.Version < 1 {
+		if reason := h.cannotApply(job.FormatAnyVersion); reason != "" {
+			h.node.log.Info("configuration not accepted yet", zap.Int64("version", c.Version), zap.String("reason", reason))
+			done(Reply{Code: NotReady})
+			return
+		}
+	}
 	if p := h.proposedConfig; p == nil || c.Version > p.Version {
 		h.proposedConfig = c
 	}
--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -123,14 +123,14 @@
 // beginAccountPass prepares the accounts for a scheduling pass. It takes limits from the newest
 // configuration.
 func (s *Scheduler) beginAccountPass() {
-	version := s.state.Config().Version
+	config := s.state.Config()
 	for _, a := range s.accounts {
-		if version != s.accountsVersion {
+		if config != s.accountsConfig {
 			s.configureAccount(a)
 		}
 		a.held, a.longestBlocked, a.blockedInPass = amounts{}, nil, 0
 	}
-	s.accountsVersion = version
+	s.accountsConfig = config
 }
 
 // endAccountPass ends a pass in which all ready steps took part.
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -37,8 +37,8 @@
 // updateTopPriority takes the priority of the most urgent queue of each pool from the newest
 // configuration.
 func (s *Scheduler) updateTopPriority() {
-	if version := s.state.Config().Version; s.topPriority == nil || version != s.topPriorityVersion {
-		s.topPriority, s.topPriorityVersion = topPriorities(s.state.Config().Queues), version
+	if config := s.state.Config(); config != s.topPriorityConfig {
+		s.topPriority, s.topPriorityConfig = topPriorities(config.Queues), config
 	}
 }
 
--- a/dispatch/incarnation.go
+++ b/dispatch/incarnation.go
@@ -52,7 +52,7 @@
 
 // announcedNew proposes to register an incarnation that is not known.
 func (s *Scheduler) announcedNew(info job.Worker) AnnounceResult {
-	if s.state.Config().Version > 0 && s.state.Pool(info.Pool) == nil {
+	if s.state.HasConfig() && s.state.Pool(info.Pool) == nil {
 		s.record(Decision{Event: "announcement refused", Worker: info.Name, Reason: "no pool " + info.Pool, ConfigVersion: s.state.Config().Version})
 		return AnnouncementRefused
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -76,14 +76,14 @@
 	cpuBeyondHeadroom map[string]int64
 	allocatedCPU      map[poolPriority]int64 // processors of all claims, in thousandths of a core
 	// accounts holds the usage of the accounts by name, with the limits and weights of the
-	// configuration with the version accountsVersion.
-	accounts        map[string]*accountUsage
-	accountsVersion int64
-	beyondRate      map[job.ID]bool // open jobs that were accepted beyond the rate of their account
+	// configuration accountsConfig.
+	accounts       map[string]*accountUsage
+	accountsConfig *job.Config
+	beyondRate     map[job.ID]bool // open jobs that were accepted beyond the rate of their account
 	// topPriority is the priority of the most urgent queue of each pool, computed from the
-	// configuration with the version topPriorityVersion; nil if it has to be recomputed.
-	topPriority        map[string]int
-	topPriorityVersion int64
+	// configuration topPriorityConfig, nil before the first pass.
+	topPriority       map[string]int
+	topPriorityConfig *job.Config
 
 	// loads holds the load of each pool at the start of the newest pass if knowsLoads is set, from which
 	// jobs are admitted.
@@ -121,8 +121,8 @@
 	s.claims, s.claimsByJob, s.proposedClaims = map[claimKey]*claim{}, map[job.ID]map[claimKey]*claim{}, map[job.TaskRef]bool{}
 	s.advice, s.lastFailedOn = map[job.StepRef]*advice{}, map[job.TaskRef]uint32{}
 	s.savedWork = map[job.TaskRef]time.Duration{}
-	s.allocatedCPU, s.topPriority = map[poolPriority]int64{}, nil
-	s.accounts, s.accountsVersion = map[string]*accountUsage{}, state.Config().Version
+	s.allocatedCPU, s.topPriority, s.topPriorityConfig = map[poolPriority]int64{}, nil, nil
+	s.accounts, s.accountsConfig = map[string]*accountUsage{}, state.Config()
 	s.beyondRate = map[job.ID]bool{}
 	s.grantRates, s.startedJobs = map[string]float64{}, map[job.ID]bool{}
 	s.reservations, s.speeds = map[job.StepRef]*reservation{}, newSpeeds()
--- a/job/op.go
+++ b/job/op.go
@@ -27,6 +27,15 @@
 	return "invalid"
 }
 
+// Formats of operations. A VM announces the newest one that it applies in its Member. An operation of a
+// format that some replica does not apply must not be proposed, since the replicas would differ.
+const (
+	FormatBase       uint32 = iota // VMs of earlier builds announce none
+	FormatAnyVersion               // a first Config may have a version below 1
+	// NewestFormat is the newest format that this build applies.
+	NewestFormat = FormatAnyVersion
+)
+
 // Submit adds an accepted job.
 type Submit struct {
 	ID             ID     `cbor:"1,keyasint"`
--- a/job/record.go
+++ b/job/record.go
@@ -185,4 +185,5 @@
 	Region        string `cbor:"4,keyasint,omitempty"`
 	// PublicAddress is where operators and workers reach the VM.
 	PublicAddress string `cbor:"5,keyasint,omitempty"`
+	Format        uint32 `cbor:"6,keyasint,omitempty"` // newest format of operations that the VM applies
 }
--- a/job/snapshot.go
+++ b/job/snapshot.go
@@ -13,11 +13,13 @@
 	Workers    map[uint32]*Worker `cbor:"3,keyasint"`
 	Members    map[string]Member  `cbor:"4,keyasint"`
 	LastWorker uint32             `cbor:"5,keyasint"`
+	// HasConfig is not in snapshots of earlier builds, which applied no configuration of a version below 1.
+	HasConfig bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() []byte {
-	data, err := codec.EncMode.Marshal(stateSnapshot{s.config, s.jobs, s.workers, s.members, s.lastWorker})
+	data, err := codec.EncMode.Marshal(stateSnapshot{*s.config, s.jobs, s.workers, s.members, s.lastWorker, s.hasConfig})
 	if err != nil {
 		panic("job: encode state: " + err.Error())
 	}
@@ -32,7 +34,8 @@
 		return errors.Wrap(err, "decode snapshot")
 	}
 	fresh := NewState()
-	fresh.config, fresh.lastWorker = snapshot.Config, snapshot.LastWorker
+	fresh.config, fresh.lastWorker = &snapshot.Config, snapshot.LastWorker
+	fresh.hasConfig = snapshot.HasConfig || snapshot.Config.Version > 0
 	fresh.queues, fresh.accounts = newQueueIndex(fresh.config.Queues), newAccountIndex(fresh.config.Accounts)
 	if snapshot.Jobs != nil {
 		fresh.jobs = snapshot.Jobs
--- a/job/state.go
+++ b/job/state.go
@@ -10,7 +10,8 @@
 
 // State is the replicated state of a cell. It is not safe for concurrent use.
 type State struct {
-	config     Config
+	config     *Config // without content before the first one is applied
+	hasConfig  bool
 	queues     queueIndex
 	accounts   accountIndex
 	jobs       map[ID]*Job
@@ -22,11 +23,18 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{jobs: map[ID]*Job{}, openJobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}}
+	return &State{config: &Config{}, jobs: map[ID]*Job{}, openJobs: map[ID]*Job{}, workers: map[uint32]*Worker{}, members: map[string]Member{}}
 }
 
-// Config returns the current configuration. Its version is 0 before the first one is applied.
-func (s *State) Config() *Config { return &s.config }
+// Config returns the current configuration, which must not be changed. It is another one after each change, and
+// has no content before the first one is applied.
+func (s *State) Config() *Config { return s.config }
+
+// HasConfig reports whether a configuration has been applied. Its version may be 0 or negative.
+func (s *State) HasConfig() bool { return s.hasConfig }
+
+// Supersedes reports whether a configuration would take effect if it were applied now.
+func (s *State) Supersedes(c *Config) bool { return !s.hasConfig || c.Version > s.config.Version }
 
 // Queue returns the queue with the longest prefix of path at a host, or nil.
 func (s *State) Queue(host, path string) *Queue { return s.queues.find(host, path) }
@@ -123,7 +131,7 @@
 	case op.SettleWorkers != nil:
 		s.settleWorkers(op.SettleWorkers)
 	case op.Config != nil:
-		s.setConfig(*op.Config)
+		s.setConfig(op.Config)
 	case op.Member != nil:
 		s.members[op.Member.Address] = *op.Member
 	case op.DeleteJobs != nil:
@@ -134,9 +142,9 @@
 	}
 }
 
-func (s *State) setConfig(c Config) {
-	if c.Version > s.config.Version {
-		s.config = c
+func (s *State) setConfig(c *Config) {
+	if s.Supersedes(c) {
+		s.config, s.hasConfig = c, true
 		s.queues, s.accounts = newQueueIndex(s.config.Queues), newAccountIndex(s.config.Accounts)
 	}
 }
