cell, job: routes of one name get their own workers

Change: the leader adds the location to a name that an earlier queue of the configuration has, before it proposes it.

Tests: TestRoutesOfOneName (cell), which failed without the change (conflict), TestQueuesOfOneNameAreRenamed (job).

--- a/cell/route_test.go
+++ b/cell/route_test.go
@@ -54,3 +54,20 @@
 		}
 	}
 }
+
+// Guards against a job that is stored on another route of the same name and runs on the workers of that route.
+func TestRoutesOfOneName(t *testing.T) {
+	tc := newTestCell(t, 3)
+	n := tc.nodes[tc.leader()].node
+	config := testConfigWith(1, map[string]string{"drafts": "/d/", "other": "/o/"})
+	config.Pools = append(config.Pools, job.Pool{Name: "studio"})
+	config.Queues[1].Name, config.Queues[1].Pool = config.Queues[0].Name, "studio"
+	tc.c.Assert(forwardCall(n, Call{Kind: PutConfig, Config: config}).Code, qt.Equals, OK)
+	for i, q := range config.Queues {
+		id := job.ID(i + 1)
+		tc.c.Assert(forwardCall(n, submitCall(q.Prefix+id.String())).Code, qt.Equals, OK)
+		tc.c.Check(forwardCall(n, Call{Kind: QueryJob, Host: "h", Path: q.Prefix + id.String()}).Status, qt.Equals, JobQueued)
+		tc.c.Check(forwardCall(n, Call{Kind: CountPending, Host: "h", Path: q.Prefix}).Pending, qt.Equals, 1)
+		tc.onEventLoop(tc.leader(), func(h *replicaHost) { tc.c.Check(h.state.Job(id).Queue.Pool, qt.Equals, q.Pool) })
+	}
+}
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -257,6 +257,7 @@
 			return
 		}
 	}
+	c.NameQueuesUniquely()
 	if p := h.proposedConfig; p == nil || c.Version > p.Version {
 		h.proposedConfig = c
 	}
--- a/job/config.go
+++ b/job/config.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -82,6 +83,19 @@
 	return checkAccounts(c.Accounts)
 }
 
+// NameQueuesUniquely adds the location to the name of each queue whose name an earlier one has. Operations refer
+// to queues by name; operators may give several the same one.
+func (c *Config) NameQueuesUniquely() {
+	taken := make(map[string]bool, len(c.Queues))
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		for taken[q.Name] {
+			q.Name = fmt.Sprintf("%s (%s%s)", q.Name, q.Host, q.Prefix)
+		}
+		taken[q.Name] = true
+	}
+}
+
 // QueueAt returns the queue at a location, or nil.
 func (c *Config) QueueAt(l Location) *Queue {
 	if i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Location() == l }); i >= 0 {
--- a/job/config_test.go
+++ b/job/config_test.go
@@ -58,3 +58,18 @@
 		c.Check(earlier.Config.Version, qt.Equals, version+1)
 	}
 }
+
+// Guards against queues that cannot be told apart by name, also where another queue has the name that one of them would get.
+func TestQueuesOfOneNameAreRenamed(t *testing.T) {
+	c := qt.New(t)
+	config := Config{Queues: []Queue{{Name: "q", Host: "h", Prefix: "/a/"}, {Name: "q", Host: "h", Prefix: "/b/"}, {Name: "q (h/b/)", Host: "h", Prefix: "/c/"},
+		{Name: "other", Host: "h", Prefix: "/d/"}, {Name: "q", Host: "h", Prefix: "/e/"}}}
+	config.NameQueuesUniquely()
+	names := map[string]bool{}
+	for _, q := range config.Queues {
+		names[q.Name] = true
+	}
+	c.Check(names, qt.HasLen, len(config.Queues))
+	c.Check(config.Queues[0].Name, qt.Equals, "q")
+	c.Check(config.Queues[3].Name, qt.Equals, "other")
+}
