cell: a cancel waits for the commit of its job's submission

Seen: the new test of random configurations makes several calls in one pass of the leader's event loop; a cancel right behind the submission of the same job was answered 410, and the job was accepted and ran.

Cause: the job exists for the leader once its Submit is applied, one commit after the leader has proposed it.

Change: a cancel waits for a Submit of its job that this leader has proposed, and is served when that is applied or may be lost.

--- a/cell/host.go
+++ b/cell/host.go
@@ -28,7 +28,7 @@
 	pendingCallbacks []func(committed bool)
 	proposals        map[uint64]proposal // by log index
 	// submitting holds the calls that wait for a job's Submit to be applied.
-	submitting map[job.ID][]submission
+	submitting map[job.ID]*pendingSubmit
 	// proposedConfig is the newest configuration that this leader has proposed and that is not applied yet,
 	// nil if there is none. afterConfig is called when it is applied or lost.
 	proposedConfig *job.Config
@@ -53,7 +53,7 @@
 
 func newReplicaHost(n *Node) *replicaHost {
 	h := &replicaHost{node: n, state: job.NewState(), proposals: map[uint64]proposal{},
-		submitting: map[job.ID][]submission{}, signOffs: map[uint32][]func(Reply){}, lastSeen: map[string]time.Duration{}}
+		submitting: map[job.ID]*pendingSubmit{}, signOffs: map[uint32][]func(Reply){}, lastSeen: map[string]time.Duration{}}
 	h.scheduler = dispatch.New(n.settings.Dispatch, h.state, decisionLogger(n.log, n.metrics))
 	return h
 }
--- a/cell/serve.go
+++ b/cell/serve.go
@@ -73,7 +73,7 @@
 	case SubmitJob:
 		h.submit(id, q, account, c, done)
 	case CancelJob:
-		h.cancel(id, q, account, done)
+		h.cancel(id, q, account, c, done)
 	default:
 		h.query(id, q, account, done)
 	}
@@ -97,6 +97,13 @@
 	done     func(Reply)
 }
 
+// pendingSubmit holds the calls that wait for one Submit.
+type pendingSubmit struct {
+	submissions []submission
+	// then is called after the replies to the submissions.
+	then []func()
+}
+
 // submit replies when the job is stored.
 func (h *replicaHost) submit(id job.ID, q *job.Queue, account string, c Call, done func(Reply)) {
 	s := submission{q.Location(), account, done}
@@ -118,8 +125,8 @@
 		}
 		name = next.Name
 	}
-	if waiters, ok := h.submitting[id]; ok {
-		h.submitting[id] = append(waiters, s)
+	if p := h.submitting[id]; p != nil {
+		p.submissions = append(p.submissions, s)
 		return
 	}
 	if reason, exceeds := h.scheduler.ExceedsLimit(c.Spec, account); exceeds {
@@ -130,7 +137,7 @@
 		done(h.rejectJob(id, q, a))
 		return
 	}
-	h.submitting[id] = []submission{s}
+	h.submitting[id] = &pendingSubmit{submissions: []submission{s}}
 	h.propose(func(committed bool) { h.submitApplied(id, committed) },
 		job.Op{Submit: &job.Submit{ID: id, Queue: name, Spec: *c.Spec, AcceptedMillis: time.Now().UnixMilli(), Account: account}})
 }
@@ -155,9 +162,9 @@
 
 // submitApplied replies to the calls that wait for a job's Submit, from the state after it.
 func (h *replicaHost) submitApplied(id job.ID, committed bool) {
-	waiters := h.submitting[id]
+	pending := h.submitting[id]
 	delete(h.submitting, id)
-	for _, s := range waiters {
+	for _, s := range pending.submissions {
 		j := h.state.Job(id)
 		if !committed || j == nil {
 			s.done(Reply{Code: Interrupted})
@@ -165,6 +172,9 @@
 		}
 		s.reply(j, j.Queue.Location() == s.location)
 	}
+	for _, fn := range pending.then {
+		fn()
+	}
 }
 
 // reply replies from the stored job with the call's ID, which belongs to the call's queue or to another one.
@@ -200,7 +210,13 @@
 	return nil
 }
 
-func (h *replicaHost) cancel(id job.ID, q *job.Queue, account string, done func(Reply)) {
+// cancel replies when the job is cancelled or has ended. A cancel that arrives while the job's Submit is not
+// applied yet waits for it: the job would be accepted after the reply that there is none.
+func (h *replicaHost) cancel(id job.ID, q *job.Queue, account string, c Call, done func(Reply)) {
+	if p := h.submitting[id]; p != nil {
+		p.then = append(p.then, func() { h.serve(h.node.eventLoop.Now(), c, done) })
+		return
+	}
 	j := h.jobForCaller(id, q, account)
 	switch {
 	case j == nil:
--- a/cell/submit_test.go
+++ b/cell/submit_test.go
@@ -114,3 +114,18 @@
 	tc.c.Check((<-replies).Code, qt.Equals, Interrupted)
 	tc.c.Check((<-replies).Code, qt.Equals, NotLeader)
 }
+
+// Guards against a cancel that is told that there is no such job while the job's submission is about to be
+// acknowledged: the job would run.
+func TestCancelBehindItsSubmit(t *testing.T) {
+	const path = "/d/00000000000000aa"
+	tc := newTestCell(t, 3)
+	n := tc.nodes[tc.leader()].node
+	tc.c.Assert(forwardCall(n, Call{Kind: PutConfig, Config: testConfig(1)}).Code, qt.Equals, OK)
+	cancel := Call{Kind: CancelJob, Host: "h", Path: path}
+	replies := tc.serveTogether(cancel, submitCall(path), cancel)
+	tc.c.Check(replies[0].Code, qt.Equals, NoJob)
+	tc.c.Check(replies[1].Code, qt.Equals, OK)
+	tc.c.Check(replies[2].Code, qt.Equals, OK)
+	tc.c.Check(forwardCall(n, Call{Kind: QueryJob, Host: "h", Path: path}).Status, qt.Equals, JobCanceled)
+}
