partition, server: a resend is recognised whatever its route is called by then

Cause: the digest of a request contains the name of its route at the accept, and a resend was compared under the name of now. A key in use always meant not_run.

Change: a record keeps the kind as sent; body and this word, or a route that serves both kinds, tell a resend. not_run needs certainty that the key belongs to another request. The record is looked up before the checks that depend on the route. Calls by key take kinds that are no longer served, whose homes the control state keeps.

--- a/api/error.go
+++ b/api/error.go
@@ -11,7 +11,7 @@
 	CodeBadRequest    ErrorCode = "bad_request"    // 400; Field names the invalid field
 	CodeNoRoute       ErrorCode = "no_route"       // 404; Nearest is the most similar route name
 	CodeNotFound      ErrorCode = "not_found"      // 404
-	CodeKeyReused     ErrorCode = "key_reused"     // 409; the key was used with another body
+	CodeKeyReused     ErrorCode = "key_reused"     // 409; the key belongs to another request; without NotRun it may be the same one
 	CodeVersion       ErrorCode = "version"        // 409; the tables have changed since the given version
 	CodeTooLarge      ErrorCode = "too_large"      // 413
 	CodeNeverFits     ErrorCode = "never_fits"     // 422; the work can never run
@@ -27,8 +27,9 @@
 	Message string    `json:"message"`
 	Field   string    `json:"field,omitempty"`
 	Nearest string    `json:"nearest,omitempty"`
-	// NotRun is true if the owner of the key had no record of it and refused it, so that
-	// the work did not run and will not run. An entry VM that refuses a call before it asks
+	// NotRun is true if the owner of the key refused the call and had no record of the key, or
+	// one of another request (CodeKeyReused), so that the work of this call did not run and will
+	// not run. It says nothing about the other request. An entry VM that refuses a call before it asks
 	// the owner leaves NotRun false, because an earlier copy of the request may have been
 	// accepted.
 	NotRun bool `json:"not_run,omitempty"`
--- a/client/errors.go
+++ b/client/errors.go
@@ -61,7 +61,7 @@
 // isDeterministic reports whether the refusal depends only on the request itself, so that
 // an earlier copy was refused too.
 func (e *tryError) isDeterministic() bool {
-	return e.apiErr != nil && (e.apiErr.Code == api.CodeBadRequest || e.apiErr.Code == api.CodeTooLarge || e.apiErr.Code == api.CodeKeyReused)
+	return e.apiErr != nil && (e.apiErr.Code == api.CodeBadRequest || e.apiErr.Code == api.CodeTooLarge || e.apiErr.Code == api.CodeKeyReused && e.apiErr.NotRun)
 }
 
 // newTransportError classifies a failure without a response. Only after a failed dial is it
--- a/cmd/oleanderchute/exit.go
+++ b/cmd/oleanderchute/exit.go
@@ -98,7 +98,7 @@
 		message = fmt.Sprintf("%s; try again in %d ms", message, e.RetryAfterMillis)
 	}
 	if e.NotRun {
-		message += "; the work did not run"
+		message += "; the work of this call did not run"
 	}
 	return message
 }
--- a/control/change.go
+++ b/control/change.go
@@ -71,8 +71,8 @@
 	delta := Diff(s.tables, next)
 	next.Version = s.tables.Version + 1
 	s.tables = next
-	s.resolver = NewResolver(next)
 	s.homes.recordTables(next)
+	s.resolver = NewResolver(next, s.homes.Kinds)
 	s.history = append(s.history, api.HistoryEntry{
 		Version: next.Version, ChangeID: c.ChangeID, UnixMillis: c.UnixMillis,
 		Operator:      truncate(c.Operator, maxOperatorBytes),
--- a/control/problemlog_test.go
+++ b/control/problemlog_test.go
@@ -12,7 +12,7 @@
 )
 
 // newTestResolver returns a resolver for the normalized tables.
-func newTestResolver(t api.Tables) *Resolver { return NewResolver(NormalizeTables(t)) }
+func newTestResolver(t api.Tables) *Resolver { return NewResolver(NormalizeTables(t), nil) }
 
 // TestProblemLogUnknownKind guards against unknown kinds that are not grouped, counted,
 // explained or removed.
--- a/control/resolve.go
+++ b/control/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -18,11 +19,13 @@
 	kindNames     *nameIndex     // route names and aliases
 	poolNames     *nameIndex
 	nearestKinds  nearestCache
+	formerHomes   map[string]string // home of each kind that was ever served
 }
 
-// NewResolver returns a resolver for t, which must not be modified afterwards.
-func NewResolver(t api.Tables) *Resolver {
-	r := &Resolver{tables: t, routesByName: make(map[string]int), routesByAlias: make(map[string]int), poolsByName: make(map[string]int)}
+// NewResolver returns a resolver for t, which must not be modified afterwards. homesByKind has the
+// home of each kind that these or earlier tables serve.
+func NewResolver(t api.Tables, homesByKind map[string]string) *Resolver {
+	r := &Resolver{tables: t, formerHomes: maps.Clone(homesByKind), routesByName: make(map[string]int), routesByAlias: make(map[string]int), poolsByName: make(map[string]int)}
 	var kinds, pools []string
 	for i, route := range t.Routes {
 		r.routesByName[route.Name] = i
@@ -63,6 +66,19 @@
 	return route, pool, nil
 }
 
+// Home returns the home partition of a kind that a route serves or once served, since requests that were
+// accepted under a kind stay there.
+func (r *Resolver) Home(kind string) (string, *api.Error) {
+	_, pool, err := r.Resolve(kind)
+	if err == nil {
+		return pool.Home, nil
+	}
+	if home, ok := r.formerHomes[kind]; ok {
+		return home, nil
+	}
+	return "", err
+}
+
 // serves reports whether a route has kind as its name or alias.
 func (r *Resolver) serves(kind string) bool {
 	_, isName := r.routesByName[kind]
@@ -81,6 +97,9 @@
 		err.Nearest = near
 		err.Message = fmt.Sprintf("no route serves kind %q; send kind %q, or an operator adds \"aliases: [%s]\" to that route", shown, near, shown)
 	}
+	if _, ok := r.formerHomes[kind]; ok {
+		err.Message += "; a request that was accepted while a route served it goes on, ask for its outcome by key with this kind"
+	}
 	return err
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -44,10 +44,10 @@
 	next := New()
 	next.index, next.history, next.warningsInForce = in.Index, in.History, in.WarningsInForce
 	next.tables = NormalizeTables(in.Tables)
-	next.resolver = NewResolver(next.tables)
 	if in.Homes.Pools != nil && in.Homes.Kinds != nil {
 		next.homes = in.Homes
 	}
+	next.resolver = NewResolver(next.tables, next.homes.Kinds)
 	for _, vm := range in.VMs {
 		next.vms[vm.Name] = vm
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -41,7 +41,7 @@
 // partitions.
 func New() *State {
 	return &State{
-		resolver:   NewResolver(api.Tables{}),
+		resolver:   NewResolver(api.Tables{}, nil),
 		vms:        make(map[string]VM),
 		partitions: make(map[string]Partition),
 		homes:      newHomes(),
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -69,10 +69,10 @@
 // liveRequest is the owner's view of a request that has no final outcome, or whose last
 // attempts still have to be stopped.
 type liveRequest struct {
-	key    api.RequestKey
-	rec    *record // nil in phaseAccepting
-	phase  phase
-	digest []byte // as in spec.Digest
+	key      api.RequestKey
+	rec      *record // nil in phaseAccepting
+	phase    phase
+	identity identity
 	// inherited is set if the request was open when the ownership began.
 	inherited bool
 	// cancelRequested is set if a cancel has been proposed or waits for the accept.
@@ -124,7 +124,7 @@
 		o.finished.add(r.Spec.Key, now+o.p.cfg.OutcomeRetention)
 		return
 	}
-	l := &liveRequest{key: r.Spec.Key, rec: r, digest: r.Spec.Digest, inherited: true, cancelRequested: r.Cancelled}
+	l := &liveRequest{key: r.Spec.Key, rec: r, identity: r.Spec.identity(), inherited: true, cancelRequested: r.Cancelled}
 	o.requests[l.key] = l
 	o.setTimes(l, now, nowUnixMillis)
 	for i := range r.Attempts {
--- a/partition/record.go
+++ b/partition/record.go
@@ -56,7 +56,7 @@
 // spec describes an accepted request. It never changes, even if the tables do.
 type spec struct {
 	Key                api.RequestKey `cbor:"1,keyasint"`
-	Kind               string         `cbor:"2,keyasint"`
+	Kind               string         `cbor:"2,keyasint"` // name of the route at the time of the accept
 	Pool               string         `cbor:"3,keyasint"`
 	Team               string         `cbor:"4,keyasint,omitempty"`
 	Class              api.Class      `cbor:"5,keyasint,omitempty"`
@@ -67,11 +67,13 @@
 	NonIdempotent      bool           `cbor:"10,keyasint,omitempty"`
 	Region             string         `cbor:"11,keyasint,omitempty"`
 	AcceptedUnixMillis int64          `cbor:"12,keyasint,omitempty"`
-	// Digest is the SHA-256 of kind and body. It shows whether a key is reused for another
+	// Digest is the SHA-256 of Kind and body. It shows whether a key is reused for another
 	// request.
 	Digest []byte `cbor:"13,keyasint"`
 	// Tasks is the size of a gang; 0 for a request with one task.
 	Tasks int `cbor:"14,keyasint,omitempty"`
+	// RequestedKind is the kind as the caller sent it: the name or an alias that the route had then.
+	RequestedKind string `cbor:"15,keyasint,omitempty"`
 }
 
 // record is the replicated state of one accepted request. It changes only in Apply.
--- a/partition/submit.go
+++ b/partition/submit.go
@@ -1,7 +1,6 @@
 package partition
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -10,48 +9,40 @@
 
 // submit accepts a request, or makes the call wait for the request with the same key.
 func (o *owner) submit(now time.Duration, e *Submit) {
-	if err := validateSubmit(e); err != nil {
-		o.reply(e.Waiter, nil, err)
-		return
-	}
 	key := api.RequestKey{Caller: e.Request.Caller, Key: e.Request.Key}
-	digest := requestDigest(e.Route.Name, e.Request.Body)
 	if l := o.requests[key]; l != nil && l.phase != phaseOutcome {
-		if !bytes.Equal(l.digest, digest) {
-			o.reply(e.Waiter, nil, keyReusedError(key))
+		if err := l.identity.check(key, e, o.p.tables); err != nil {
+			o.reply(e.Waiter, nil, err)
 			return
 		}
 		o.addWaiter(now, l, e.Waiter, e.WaitUntil)
 		return
 	}
 	if r := o.p.records[key]; r != nil {
-		if !bytes.Equal(r.Spec.Digest, digest) {
-			o.reply(e.Waiter, nil, keyReusedError(key))
+		if err := r.Spec.identity().check(key, e, o.p.tables); err != nil {
+			o.reply(e.Waiter, nil, err)
 			return
 		}
 		o.reply(e.Waiter, o.status(r), nil)
 		return
 	}
-	o.admit(now, e, key, digest)
-}
-
-// keyReusedError returns the error for a key that belongs to another request. The refused
-// request has not run.
-func keyReusedError(key api.RequestKey) *api.Error {
-	err := api.Errorf(api.CodeKeyReused, "key %q already belongs to a request with another kind or body", key.Key)
-	err.Field, err.NotRun = "key", true
-	return err
+	// The checks depend on the route, which may have changed since an earlier copy was accepted.
+	if err := validateSubmit(e); err != nil {
+		o.reply(e.Waiter, nil, err)
+		return
+	}
+	o.admit(now, e, key)
 }
 
 // admit checks a new request and proposes its accept.
-func (o *owner) admit(now time.Duration, e *Submit, key api.RequestKey, digest []byte) {
+func (o *owner) admit(now time.Duration, e *Submit, key api.RequestKey) {
 	if len(o.waiters) >= maxWaiters || o.proposer.pendingBytes >= maxPendingBytes {
 		err := api.Errorf(api.CodeOverloaded, "overloaded: %d calls are waiting and %d bytes of commands are pending", len(o.waiters), o.proposer.pendingBytes)
 		err.NotRun, err.RetryAfterMillis = true, api.Millis(time.Second)
 		o.reply(e.Waiter, nil, err)
 		return
 	}
-	s := newSpec(e, key, digest)
+	s := newSpec(e, key)
 	item := specItem(&s)
 	item.Accepted = now
 	if s.DeadlineMillis > 0 {
@@ -61,20 +52,20 @@
 		o.reply(e.Waiter, nil, admissionError(a))
 		return
 	}
-	l := &liveRequest{key: key, phase: phaseAccepting, digest: digest}
+	l := &liveRequest{key: key, phase: phaseAccepting, identity: s.identity()}
 	o.requests[key] = l
 	o.propose(command{Accept: &acceptCommand{Spec: s, Body: e.Request.Body}})
 	o.addWaiter(now, l, e.Waiter, e.WaitUntil)
 }
 
 // newSpec returns the spec of a new request, with defaults filled in.
-func newSpec(e *Submit, key api.RequestKey, digest []byte) spec {
+func newSpec(e *Submit, key api.RequestKey) spec {
 	request := &e.Request
 	s := spec{
 		Key: key, Kind: e.Route.Name, Pool: e.Route.Pool, Team: request.Team, Class: request.Class,
 		Workload: e.Route.Workload, Resources: request.Resources, RunTimeMillis: request.RunTimeMillis,
 		DeadlineMillis: request.DeadlineMillis, NonIdempotent: request.NonIdempotent, Region: e.Region,
-		AcceptedUnixMillis: e.NowUnixMillis, Digest: digest,
+		AcceptedUnixMillis: e.NowUnixMillis, Digest: requestDigest(e.Route.Name, request.Body), RequestedKind: request.Kind,
 	}
 	if request.Tasks > 1 {
 		s.Tasks = request.Tasks
--- a/server/http_caller.go
+++ b/server/http_caller.go
@@ -47,7 +47,7 @@
 		return args, err
 	}
 	args.Route, args.Partition = route, pool.Home
-	return args, checkRouteClass(route, args.Request.Class)
+	return args, nil
 }
 
 // submit forwards a request to its owner and waits up to wait for an outcome.
@@ -107,15 +107,6 @@
 	return r.Err == nil && r.Status != nil && !r.Status.State.IsOutcome()
 }
 
-// checkRouteClass refuses a class that is more urgent than the route allows.
-func checkRouteClass(route api.Route, class api.Class) *api.Error {
-	rank := map[api.Class]int{api.ClassUrgent: 0, api.ClassNormal: 1, api.ClassLow: 2}
-	if route.Class == "" || rank[class] >= rank[route.Class] {
-		return nil
-	}
-	return fieldError("class", "route %s allows at most class %s", route.Name, route.Class)
-}
-
 // handleOutcome serves GET /v1/requests/{caller}/{key}.
 func (s *Server) handleOutcome(w http.ResponseWriter, r *http.Request) {
 	s.handleByKey(w, r, servicePartition+".Query")
@@ -151,17 +142,13 @@
 	s.writeReply(w, s.recordQuerySLO(key, r.URL.Query().Get("kind"), s.awaitOutcome(r.Context(), home, key, reply, deadline)))
 }
 
-// homePartition returns the home partition of a kind. It needs no valid configuration lease,
-// since the home of a route never changes and a query of accepted work starts nothing.
+// homePartition returns the home partition of a kind, also of one that no route serves any more. It needs no
+// valid configuration lease, since the home of a kind never changes and a query of accepted work starts nothing.
 func (s *Server) homePartition(kind string) (string, *api.Error) {
 	if kind == "" {
 		return "", fieldError("kind", "missing: add ?kind= with the kind of the request")
 	}
-	_, pool, err := s.view.Load().resolver.Resolve(kind)
-	if err != nil {
-		return "", err
-	}
-	return pool.Home, nil
+	return s.view.Load().resolver.Home(kind)
 }
 
 // parseWait returns the query parameter wait_ms, 0 if it is missing.
