partition, control, server: waiting requests follow their route

Cause: the owner queued a request in the pool of its accept, whatever the tables said later.

Change: a request is queued in the pool of the route that now serves it, and moved when the tables change. Attempts that have begun stay. Without a route it stays in its pool; check and apply warn with the number, problems lists it until it is solved, explain names the pool and what is wrong.

TestAcceptedRequestKeepsItsRoute asked for the fault: a queued request had to start in the old pool after the route named another one. TestWaitingRequestFollowsItsRoute takes its place: it asks for one start, on a worker of the pool that the route names, also after a retry, a change of owner and a rename. TestRunningRequestStaysInItsPool keeps what the old one guarded for work that has begun.

Tests, which failed on: TestWaitingRequestFollowsItsRoute, TestRequestsUnderRandomRoutes (partition), TestWaitingRequestAfterCorrectionOverHTTP (server).

--- a/control/problem.go
+++ b/control/problem.go
@@ -29,6 +29,7 @@
 	ProblemNearDuplicatePool   = "near_duplicate_pool"
 	ProblemMixedAlphabets      = "mixed_alphabets"
 	ProblemUnknownKind         = "unknown_kind"
+	ProblemWaitingWithoutRoute = "waiting_without_route"
 	ProblemListTruncated       = "more_problems"
 	ProblemTooManyEntries      = "too_many_entries"
 )
--- a/control/problemlog_test.go
+++ b/control/problemlog_test.go
@@ -135,3 +135,22 @@
 	qt.Assert(t, []any{got[0].Count, got[0].FirstSeenUnixMillis}, qt.DeepEquals, []any{int64(3), int64(10)})
 	qt.Assert(t, got[0].Callers, qt.DeepEquals, []string{"a", "b"})
 }
+
+// Guards against requests that wait without a route and are not reported, and against a warning about those that have one.
+func TestCheckWaiting(t *testing.T) {
+	tables := api.Tables{Routes: []api.Route{{Name: "drawing", Pool: "drafters", Aliases: []string{"draft"}}}, Pools: []api.Pool{{Name: "drafters", Home: "n"}}}
+	problems := CheckWaiting(tables, []api.WaitingRequests{
+		{Kind: "draft", Route: "drafting", Pool: "drafters", Count: 1}, // by the kind
+		{Kind: "d", Route: "drawing", Pool: "drafters", Count: 1},      // by the name of the route
+		{Route: "drawing", Pool: "drafters", Count: 1},
+		{Kind: "timing", Route: "timing", Pool: "slow", Count: 2},
+		{Kind: "timing", Route: "times", Pool: "slow", Count: 3},
+		{Route: "timing", Pool: "slow", Count: 4},
+	})
+	qt.Assert(t, problems, qt.HasLen, 1)
+	p := problems[0]
+	qt.Check(t, p.Severity, qt.Equals, api.SeverityWarning)
+	qt.Check(t, p.Subject, qt.Equals, "timing")
+	qt.Check(t, p.Message, qt.Contains, `pool "slow": 9, which the tables do not have`)
+	qt.Check(t, p.Remedy, qt.Contains, "aliases: [timing]")
+}
--- a/partition/identity.go
+++ b/partition/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -18,21 +19,20 @@
 
 func (s *spec) identity() identity { return identity{s.RequestedKind, s.Kind, s.Digest} }
 
+// sentKind returns the kind as the caller sent it, or the name of the route if the record does not have it.
+func (s *spec) sentKind() string { return cmp.Or(s.RequestedKind, s.Kind) }
+
 // check returns nil if e is a resend of the request with this identity, whatever its route is called now.
 // Otherwise it returns the refusal.
-func (id identity) check(key api.RequestKey, e *Submit, tables api.Tables) *api.Error {
+func (id identity) check(key api.RequestKey, e *Submit, routesByKind map[string]*api.Route) *api.Error {
 	if !bytes.Equal(id.digest, requestDigest(id.routeName, e.Request.Body)) {
 		return keyReusedError(key, "a request with another body")
 	}
-	kind := id.requestedKind
-	if kind == "" {
-		kind = id.routeName
-	}
-	isServed := slices.ContainsFunc(tables.Routes, func(r api.Route) bool { return serves(r, kind) })
+	kind := cmp.Or(id.requestedKind, id.routeName)
 	switch {
 	case e.Request.Kind == kind || serves(e.Route, kind):
 		return nil
-	case id.requestedKind != "" && isServed:
+	case id.requestedKind != "" && routesByKind[kind] != nil:
 		return keyReusedError(key, "a request of another kind")
 	}
 	err := api.Errorf(api.CodeKeyReused, "key %q belongs to a request with the same body that was accepted as kind %q; "+
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -73,6 +73,8 @@
 	rec      *record // nil in phaseAccepting
 	phase    phase
 	identity identity
+	// queuedPool is the pool in whose queue the request was put last.
+	queuedPool string
 	// inherited is set if the request was open when the ownership began.
 	inherited bool
 	// cancelRequested is set if a cancel has been proposed or waits for the accept.
@@ -203,14 +205,16 @@
 		o.closeIdle(l, false)
 		return
 	}
-	l.phase, l.backoffReason = phaseQueued, ""
-	o.sched.Enqueue(now, o.item(l))
+	item := o.item(l)
+	l.phase, l.backoffReason, l.queuedPool = phaseQueued, "", item.Pool
+	o.sched.Enqueue(now, item)
 	o.decisionDue = true
 }
 
 // item returns the description of a request for the scheduler.
 func (o *owner) item(l *liveRequest) placement.Item {
 	item := specItem(&l.rec.Spec)
+	item.Pool = o.p.poolOf(&l.rec.Spec)
 	item.Accepted, item.Deadline = l.acceptedAt, l.deadline
 	return item
 }
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -12,6 +12,7 @@
 	cfg          Config
 	newScheduler func() Scheduler
 	tables       api.Tables
+	routesByKind map[string]*api.Route // of tables
 	// placementSuspended is set while the application does not allow placements.
 	placementSuspended bool
 
@@ -50,9 +51,10 @@
 func (p *Partition) Step(now time.Duration, event Event) []Action {
 	switch e := event.(type) {
 	case TablesChanged:
-		p.tables = e.Tables
+		p.tables, p.routesByKind = e.Tables, indexRoutes(e.Tables)
 		if p.owner != nil {
 			p.owner.sched.SetPools(e.Tables.Pools)
+			p.owner.requeueMoved(now)
 		}
 	case PlacementAllowed:
 		p.placementSuspended = !e.Allowed
--- a/partition/status.go
+++ b/partition/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -90,10 +91,15 @@
 func (o *owner) waitsFor(now time.Duration, l *liveRequest) string {
 	switch l.phase {
 	case phaseQueued:
+		reason := "a worker of pool " + l.queuedPool
 		if e := o.sched.Explain(now, l.key); e.WaitsFor != "" {
-			return e.WaitsFor
+			reason = e.WaitsFor
 		}
-		return "a worker of pool " + l.rec.Spec.Pool
+		if o.p.routeOf(&l.rec.Spec) == nil && len(o.p.tables.Routes) > 0 {
+			return fmt.Sprintf("a route for kind %q, which the tables no longer have; until then it stays in pool %q and waits for %s",
+				l.rec.Spec.sentKind(), l.queuedPool, reason)
+		}
+		return reason
 	case phaseAwaitingLeaseEnd:
 		return "the end of leases that the former owner may have granted"
 	case phaseClosing:
--- a/partition/submit.go
+++ b/partition/submit.go
@@ -11,7 +11,7 @@
 func (o *owner) submit(now time.Duration, e *Submit) {
 	key := api.RequestKey{Caller: e.Request.Caller, Key: e.Request.Key}
 	if l := o.requests[key]; l != nil && l.phase != phaseOutcome {
-		if err := l.identity.check(key, e, o.p.tables); err != nil {
+		if err := l.identity.check(key, e, o.p.routesByKind); err != nil {
 			o.reply(e.Waiter, nil, err)
 			return
 		}
@@ -19,7 +19,7 @@
 		return
 	}
 	if r := o.p.records[key]; r != nil {
-		if err := r.Spec.identity().check(key, e, o.p.tables); err != nil {
+		if err := r.Spec.identity().check(key, e, o.p.routesByKind); err != nil {
 			o.reply(e.Waiter, nil, err)
 			return
 		}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -81,7 +81,7 @@
 		return fmt.Sprintf("the team's quota of %s", dimNames[d])
 	}
 	if len(p.workers) == 0 {
-		return "a worker of the pool"
+		return fmt.Sprintf("a worker of pool %q, which has none", p.name)
 	}
 	if e.subqueue.head != e || !e.subqueue.blocked {
 		return "its turn"
--- a/server/cluster.go
+++ b/server/cluster.go
@@ -64,7 +64,7 @@
 // accepts it.
 func (c *clusterService) Apply(args ApplyArgs, reply *ApplyReply) error {
 	done := make(chan ApplyReply, 1)
-	workers := c.server.knownWorkers(context.Background())
+	workers := c.server.fetchPartitions(context.Background()).workers
 	ok := c.server.eventLoop.Post(func() {
 		now := c.server.eventLoop.Now()
 		if !c.server.isControlLeader(now) {
--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -30,8 +30,9 @@
 		s.refuse(w, err)
 		return
 	}
-	v := s.view.Load()
-	writeJSON(w, http.StatusOK, control.Check(v.tables, next, s.knownWorkers(r.Context()), v.partitionNames()))
+	v, known := s.view.Load(), s.fetchPartitions(r.Context())
+	problems := control.Check(v.tables, next, known.workers, v.partitionNames())
+	writeJSON(w, http.StatusOK, append(problems, control.CheckWaiting(next, known.waiting)...))
 }
 
 // handleApply serves POST /v1/tables/apply. If the change conflicts with another one or fails
@@ -46,11 +47,16 @@
 		s.refuse(w, err)
 		return
 	}
+	// The state machine of the control group does not know the requests, so its response cannot warn of these.
+	warnings := control.CheckWaiting(req.Tables, s.fetchPartitions(r.Context()).waiting)
 	reply := s.forwardApply(r.Context(), ApplyArgs{Request: req})
 	if reply.Err != nil {
 		s.refuse(w, reply.Err)
 		return
 	}
+	if reply.Response.Accepted {
+		reply.Response.Problems = append(reply.Response.Problems, warnings...)
+	}
 	writeJSON(w, http.StatusOK, reply.Response)
 }
 
@@ -90,9 +96,8 @@
 			lists = append(lists, reply.Problems)
 		}
 	})
-	v := s.view.Load()
-	tables := control.Check(api.Tables{}, v.tables, s.knownWorkers(r.Context()), v.partitionNames())
-	lists = append(lists, tables)
+	v, known := s.view.Load(), s.fetchPartitions(r.Context())
+	lists = append(lists, control.Check(api.Tables{}, v.tables, known.workers, v.partitionNames()), control.CheckWaiting(v.tables, known.waiting))
 	writeJSON(w, http.StatusOK, control.MergeProblems(lists...))
 }
 
@@ -112,8 +117,7 @@
 	})
 	sort.Slice(out.VMs, func(i, j int) bool { return out.VMs[i].VM < out.VMs[j].VM })
 	for _, name := range s.view.Load().partitionNames() {
-		_, status := s.fetchWorkers(r.Context(), name)
-		out.Partitions = append(out.Partitions, status)
+		out.Partitions = append(out.Partitions, s.fetchPartition(r.Context(), name).Status)
 	}
 	writeJSON(w, http.StatusOK, out)
 }
@@ -133,37 +137,44 @@
 func (s *Server) handleWorkers(w http.ResponseWriter, r *http.Request) {
 	out := []api.WorkerStatus{}
 	for _, name := range s.view.Load().partitionNames() {
-		workers, _ := s.fetchWorkers(r.Context(), name)
-		out = append(out, workers...)
+		out = append(out, s.fetchPartition(r.Context(), name).Workers...)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
 	writeJSON(w, http.StatusOK, out)
 }
 
-// fetchWorkers returns the workers and the status of a partition from its owner. If no owner
-// answers, the status has no leader.
-func (s *Server) fetchWorkers(ctx context.Context, name string) ([]api.WorkerStatus, api.PartitionStatus) {
+// fetchPartition returns the workers, the waiting requests and the status of a partition from its
+// owner. If no owner answers, the status has no leader.
+func (s *Server) fetchPartition(ctx context.Context, name string) WorkersReply {
 	reply, ok := callOwner[WorkersReply](ctx, s, name, servicePartition+".Workers", KeyArgs{Partition: name})
 	if !ok {
-		return nil, api.PartitionStatus{Partition: name, Replicas: s.view.Load().partitions[name]}
+		return WorkersReply{Status: api.PartitionStatus{Partition: name, Replicas: s.view.Load().partitions[name]}}
 	}
-	return reply.Workers, reply.Status
+	return reply
+}
+
+// partitionsInfo is what the checks of tables use of all partitions.
+type partitionsInfo struct {
+	workers []control.WorkerInfo // nil if any owner did not answer; the checks then treat the workers as unknown
+	waiting []api.WaitingRequests
 }
 
-// knownWorkers lists the workers of all partitions for the checks of tables. It returns nil if
-// any owner did not answer; the checks then treat the workers as unknown.
-func (s *Server) knownWorkers(ctx context.Context) []control.WorkerInfo {
-	out := []control.WorkerInfo{}
+// fetchPartitions asks the owners of all partitions.
+func (s *Server) fetchPartitions(ctx context.Context) partitionsInfo {
+	info := partitionsInfo{workers: []control.WorkerInfo{}}
+	allAnswered := true
 	for _, name := range s.view.Load().partitionNames() {
-		workers, status := s.fetchWorkers(ctx, name)
-		if status.Leader == "" {
-			return nil
-		}
-		for _, w := range workers {
-			out = append(out, control.WorkerInfo{Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity})
+		reply := s.fetchPartition(ctx, name)
+		allAnswered = allAnswered && reply.Status.Leader != ""
+		for _, w := range reply.Workers {
+			info.workers = append(info.workers, control.WorkerInfo{Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity})
 		}
+		info.waiting = append(info.waiting, reply.Waiting...)
 	}
-	return out
+	if !allAnswered {
+		info.workers = nil
+	}
+	return info
 }
 
 // handleExplain serves GET /v1/explain?caller=&key=&kind=.
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -60,11 +60,13 @@
 	Explanation api.Explanation
 }
 
-// WorkersReply lists the workers of one partition.
+// WorkersReply lists the workers and the waiting requests of one partition. VMs of earlier builds
+// send no waiting requests.
 type WorkersReply struct {
 	OwnerReply
 	Workers []api.WorkerStatus
 	Status  api.PartitionStatus
+	Waiting []api.WaitingRequests
 }
 
 // partitionService implements the net/rpc service of partition owners. Its methods run on
@@ -120,11 +122,12 @@
 	})
 }
 
-// Workers returns the workers and the status of the partition.
+// Workers returns the workers, the waiting requests and the status of the partition.
 func (p *partitionService) Workers(args KeyArgs, reply *WorkersReply) error {
 	return p.server.runAsOwner(args.Partition, &reply.OwnerReply, func(r *partitionReplica, now time.Duration) {
 		reply.Workers = r.state.Workers(now)
 		reply.Status = r.status()
+		reply.Waiting = r.state.Waiting()
 	})
 }
 
