partition, control: the wait of a queued request and the first time of a problem are shown

Cause: the wait is part of the record from the first claim on, and nothing filled it in before. The merge of problem lists took the smaller of two times, also when one was 0, which means unknown: the list of the tables in force has no times.

Change: the owner computes the wait of a request without attempts; unknown times are ignored by the merge.

Tests, which failed on: TestStatusOfQueuedRequestHasItsWait (partition), TestMergedProblemKeepsItsFirstTime (control).

Measured: the tests of partition, control and cmd passed.

--- a/control/problemlog_test.go
+++ b/control/problemlog_test.go
@@ -136,6 +136,19 @@
 	qt.Assert(t, got[0].Callers, qt.DeepEquals, []string{"a", "b"})
 }
 
+// Guards against a merged problem without the time at which a VM first saw it, because another report has none.
+func TestMergedProblemKeepsItsFirstTime(t *testing.T) {
+	seen := api.Problem{Kind: ProblemPoolWithoutWorker, Subject: "slow", FirstSeenUnixMillis: 5, Count: 1}
+	later, computed := seen, seen
+	later.FirstSeenUnixMillis = 9
+	computed.FirstSeenUnixMillis, computed.Count = 0, 0
+	for _, list := range [][]api.Problem{{seen, computed}, {computed, seen}, {later, seen}, {seen, later}} {
+		merged := MergeProblems(list[:1], list[1:])
+		qt.Assert(t, merged, qt.HasLen, 1)
+		qt.Check(t, merged[0].FirstSeenUnixMillis, qt.Equals, int64(5))
+	}
+}
+
 // Guards against requests that wait without a route and are not reported, and against a warning about those that have one.
 func TestCheckWaiting(t *testing.T) {
 	tables := api.Tables{Routes: []api.Route{{Name: "drawing", Pool: "drafters", Aliases: []string{"draft"}}}, Pools: []api.Pool{{Name: "drafters", Home: "n"}}}
--- a/control/problemmerge.go
+++ b/control/problemmerge.go
@@ -37,10 +37,18 @@
 		a, b = b, a
 	}
 	a.Count += b.Count
-	a.FirstSeenUnixMillis = min(a.FirstSeenUnixMillis, b.FirstSeenUnixMillis)
+	a.FirstSeenUnixMillis = earlierTime(a.FirstSeenUnixMillis, b.FirstSeenUnixMillis)
 	callers := append(a.Callers, b.Callers...)
 	slices.Sort(callers)
 	callers = slices.Compact(callers)
 	a.Callers = callers[:min(len(callers), maxCallersPerUnknownKind)]
 	return a
 }
+
+// earlierTime returns the earlier of two times, of which 0 is unknown.
+func earlierTime(a, b int64) int64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
--- a/partition/route_test.go
+++ b/partition/route_test.go
@@ -117,6 +117,21 @@
 	h.c.Check(h.p.Waiting(), qt.HasLen, 0)
 }
 
+// Guards against a status that denies the time for which a request has waited.
+func TestStatusOfQueuedRequestHasItsWait(t *testing.T) {
+	h := newHarness(t)
+	h.submit("k", nil)
+	h.commit()
+	h.advance(10 * time.Second)
+	status, _ := h.p.Status(key("k"))
+	h.c.Check(status.WaitedMillis, qt.Equals, int64(10_000))
+	h.addWorker("w1", "i1")
+	h.advance(time.Second)
+	h.commit()
+	status, _ = h.p.Status(key("k"))
+	h.c.Check(status.WaitedMillis, qt.Equals, int64(10_000))
+}
+
 // Guards against requests that wait beside an idle worker of the pool that their route names, or start twice, whatever
 // names and pools the tables give their routes.
 func TestRequestsUnderRandomRoutes(t *testing.T) {
--- a/partition/status.go
+++ b/partition/status.go
@@ -66,6 +66,9 @@
 	if l == nil || r.State.IsOutcome() {
 		return s
 	}
+	if len(r.Attempts) == 0 && len(l.attempts) == 0 {
+		s.WaitedMillis = api.Millis(o.waitingTime(l))
+	}
 	if r.Spec.isGang() {
 		o.gangStatus(l, s)
 		return s
@@ -87,6 +90,9 @@
 	return s
 }
 
+// waitingTime returns how long a request without attempts has waited.
+func (o *owner) waitingTime(l *liveRequest) time.Duration { return max(o.now-l.acceptedAt, 0) }
+
 // waitsFor returns what a queued request waits for.
 func (o *owner) waitsFor(now time.Duration, l *liveRequest) string {
 	switch l.phase {
