partition, server: moving and counting requests looks at live ones only

A change of the tables went over all records of a partition, which keeps those of ten minutes; it now goes over the live requests and sorts the ones that move. An apply asked the owners for waiting requests before it was forwarded; it now does both at once.

--- a/api/operator.go
+++ b/api/operator.go
@@ -141,12 +141,12 @@
 	Slots         int       `json:"slots"`
 }
 
-// WaitingRequests counts accepted requests that have not started.
+// WaitingRequests counts accepted requests without an attempt. VMs exchange it to check tables.
 type WaitingRequests struct {
-	Kind  string `json:"kind"`  // as the callers sent it; empty if the records do not have it
-	Route string `json:"route"` // name of their route when they were accepted
-	Pool  string `json:"pool"`  // in whose queue they are
-	Count int    `json:"count"`
+	Kind  string // as the callers sent it; empty if the records do not have it
+	Route string // name of their route when they were accepted
+	Pool  string // in whose queue they are
+	Count int
 }
 
 // Explanation is the response body of GET /v1/explain. It says why a request has not
--- a/control/resolve.go
+++ b/control/resolve.go
@@ -19,13 +19,13 @@
 	kindNames     *nameIndex     // route names and aliases
 	poolNames     *nameIndex
 	nearestKinds  nearestCache
-	formerHomes   map[string]string // home of each kind that was ever served
+	homesByKind   map[string]string // also of kinds that only earlier tables served
 }
 
 // NewResolver returns a resolver for t, which must not be modified afterwards. homesByKind has the
 // home of each kind that these or earlier tables serve.
 func NewResolver(t api.Tables, homesByKind map[string]string) *Resolver {
-	r := &Resolver{tables: t, formerHomes: maps.Clone(homesByKind), routesByName: make(map[string]int), routesByAlias: make(map[string]int), poolsByName: make(map[string]int)}
+	r := &Resolver{tables: t, homesByKind: maps.Clone(homesByKind), routesByName: make(map[string]int), routesByAlias: make(map[string]int), poolsByName: make(map[string]int)}
 	var kinds, pools []string
 	for i, route := range t.Routes {
 		r.routesByName[route.Name] = i
@@ -73,7 +73,7 @@
 	if err == nil {
 		return pool.Home, nil
 	}
-	if home, ok := r.formerHomes[kind]; ok {
+	if home, ok := r.homesByKind[kind]; ok {
 		return home, nil
 	}
 	return "", err
@@ -97,7 +97,7 @@
 		err.Nearest = near
 		err.Message = fmt.Sprintf("no route serves kind %q; send kind %q, or an operator adds \"aliases: [%s]\" to that route", shown, near, shown)
 	}
-	if _, ok := r.formerHomes[kind]; ok {
+	if _, ok := r.homesByKind[kind]; ok {
 		err.Message += "; a request that was accepted while a route served it goes on, ask for its outcome by key with this kind"
 	}
 	return err
--- a/partition/route.go
+++ b/partition/route.go
@@ -1,6 +1,8 @@
 package partition
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/oleanderchute/oleanderchute/api"
@@ -40,37 +42,40 @@
 // requeueMoved moves the queued requests whose route names another pool now to the queue of that pool, in order of
 // acceptance. Attempts that have begun stay where they are: only the next one of the request follows the route.
 func (o *owner) requeueMoved(now time.Duration) {
-	for _, r := range o.p.ordered {
-		l := o.requests[r.Spec.Key]
-		if l == nil || l.rec != r || l.phase != phaseQueued || l.queuedPool == o.p.poolOf(&r.Spec) {
-			continue
+	var moved []*liveRequest
+	for _, l := range o.requests {
+		if l.phase == phaseQueued && l.queuedPool != o.p.poolOf(&l.rec.Spec) {
+			moved = append(moved, l)
 		}
+	}
+	slices.SortFunc(moved, func(a, b *liveRequest) int { return cmp.Compare(a.rec.Index, b.rec.Index) })
+	for _, l := range moved {
 		o.sched.Cancel(l.key)
 		o.enqueueOrClose(now, l)
 	}
 }
 
-// Waiting counts the requests that have not started, by kind, route and pool. It returns nil on a replica that is
-// not the owner.
+// Waiting counts the requests that have no attempt now, by kind, route and pool. It returns nil on a replica that
+// is not the owner.
 func (p *Partition) Waiting() []api.WaitingRequests {
 	if p.owner == nil {
 		return nil
 	}
-	var list []api.WaitingRequests
-	positions := map[api.WaitingRequests]int{}
-	for _, r := range p.ordered {
-		l := p.owner.requests[r.Spec.Key]
-		if r.dropped || l == nil || l.phase == phaseOutcome || l.phase == phaseActive || l.phase == phaseClosing {
-			continue
-		}
-		group := api.WaitingRequests{Kind: r.Spec.RequestedKind, Route: r.Spec.Kind, Pool: p.poolOf(&r.Spec)}
-		i, ok := positions[group]
-		if !ok {
-			i = len(list)
-			positions[group] = i
-			list = append(list, group)
+	counts := map[api.WaitingRequests]int{}
+	for _, l := range p.owner.requests {
+		switch l.phase {
+		case phaseQueued, phaseBackoff, phaseAwaitingLeaseEnd:
+			s := &l.rec.Spec
+			counts[api.WaitingRequests{Kind: s.RequestedKind, Route: s.Kind, Pool: p.poolOf(s)}]++
 		}
-		list[i].Count++
 	}
+	var list []api.WaitingRequests
+	for group, n := range counts {
+		group.Count = n
+		list = append(list, group)
+	}
+	slices.SortFunc(list, func(a, b api.WaitingRequests) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Pool, b.Pool))
+	})
 	return list
 }
--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -47,15 +47,16 @@
 		s.refuse(w, err)
 		return
 	}
-	// The state machine of the control group does not know the requests, so its response cannot warn of these.
-	warnings := control.CheckWaiting(req.Tables, s.fetchPartitions(r.Context()).waiting)
+	waiting := make(chan []api.WaitingRequests, 1)
+	go func() { waiting <- s.fetchPartitions(r.Context()).waiting }()
 	reply := s.forwardApply(r.Context(), ApplyArgs{Request: req})
 	if reply.Err != nil {
 		s.refuse(w, reply.Err)
 		return
 	}
 	if reply.Response.Accepted {
-		reply.Response.Problems = append(reply.Response.Problems, warnings...)
+		// The state machine of the control group does not know the requests, so its response cannot warn of these.
+		reply.Response.Problems = append(reply.Response.Problems, control.CheckWaiting(req.Tables, <-waiting)...)
 	}
 	writeJSON(w, http.StatusOK, reply.Response)
 }
