cell: test cells keep the ports of their keepers

Cause: the ports of all keepers were chosen first and closed again, and another test of the same run got one of them before the keeper listened.

Change: the listeners stay open and are handed to the keepers. No assertion has changed.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -107,6 +107,8 @@
 	log     *zap.Logger
 	// faultTolerance is the number of keepers that may be lost simultaneously.
 	faultTolerance int
+	// reserved holds the listeners of keepers that have not started, so that nobody else gets their ports.
+	reserved map[string]net.Listener
 }
 
 type testNode struct {
@@ -146,11 +148,14 @@
 
 func newTestCell(t testing.TB, keepers int) *testCell {
 	c := qt.New(t)
-	tc := &testCell{c: c, workers: newFakeWorkers(), nodes: map[string]*testNode{}, faultTolerance: (keepers - 1) / 2}
+	tc := &testCell{c: c, workers: newFakeWorkers(), nodes: map[string]*testNode{}, faultTolerance: (keepers - 1) / 2, reserved: map[string]net.Listener{}}
 	tc.log = logOnFailure(t)
 	tc.log.Info("cell starts")
 	for range keepers {
-		tc.seeds = append(tc.seeds, freeAddress(c))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		tc.seeds = append(tc.seeds, l.Addr().String())
+		tc.reserved[l.Addr().String()] = l
 	}
 	for _, s := range tc.seeds {
 		tc.start(s, tc.newDataFolder(), true)
@@ -185,8 +190,12 @@
 	}
 	n, err := New(s, tc.workers, noAdvisor{}, tc.log.With(zap.String("vm", address)))
 	tc.c.Assert(err, qt.IsNil)
-	listener, err := net.Listen("tcp", address)
-	tc.c.Assert(err, qt.IsNil)
+	listener := tc.reserved[address]
+	delete(tc.reserved, address)
+	if listener == nil {
+		listener, err = net.Listen("tcp", address)
+		tc.c.Assert(err, qt.IsNil)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn := &testNode{node: n, cancel: cancel, stopped: make(chan struct{}), dir: dir}
 	tc.nodes[address] = tn
