server: the owners of all partitions are asked concurrently

Since the checks of tables ask every owner, also after one has not answered, and one after the other, so that an apply waited for each partition without an owner in turn. They are asked at once now; what is returned is the same.

The time with owners missing was not measured.

--- a/server/http_operator.go
+++ b/server/http_operator.go
@@ -160,12 +160,19 @@
 	waiting []api.WaitingRequests
 }
 
-// fetchPartitions asks the owners of all partitions.
+// fetchPartitions asks the owners of all partitions concurrently, so that those without an owner cost the time
+// of one.
 func (s *Server) fetchPartitions(ctx context.Context) partitionsInfo {
+	names := s.view.Load().partitionNames()
+	replies := make([]WorkersReply, len(names))
+	var g errgroup.Group
+	for i, name := range names {
+		g.Go(func() error { replies[i] = s.fetchPartition(ctx, name); return nil })
+	}
+	_ = g.Wait()
 	info := partitionsInfo{workers: []control.WorkerInfo{}}
 	allAnswered := true
-	for _, name := range s.view.Load().partitionNames() {
-		reply := s.fetchPartition(ctx, name)
+	for _, reply := range replies {
 		allAnswered = allAnswered && reply.Status.Leader != ""
 		for _, w := range reply.Workers {
 			info.workers = append(info.workers, control.WorkerInfo{Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity})
