partition, server: tests and status call what is there

Found on reading the change again. The SLO test had the loop of applyTables, the identity test looked up routes beside indexRoutes, and waitingTime had one caller. No assertion and no behaviour has changed.

Measured: the tests of server and partition passed with the race detector.

--- a/partition/identity_test.go
+++ b/partition/identity_test.go
@@ -13,10 +13,8 @@
 
 // resolve returns the route that serves a kind.
 func resolve(t api.Tables, kind string) (api.Route, bool) {
-	for _, r := range t.Routes {
-		if serves(r, kind) {
-			return r, true
-		}
+	if r := indexRoutes(t)[kind]; r != nil {
+		return *r, true
 	}
 	return api.Route{}, false
 }
--- a/partition/status.go
+++ b/partition/status.go
@@ -67,7 +67,7 @@
 		return s
 	}
 	if len(r.Attempts) == 0 && len(l.attempts) == 0 {
-		s.WaitedMillis = api.Millis(o.waitingTime(l))
+		s.WaitedMillis = api.Millis(max(o.now-l.acceptedAt, 0))
 	}
 	if r.Spec.isGang() {
 		o.gangStatus(l, s)
@@ -90,9 +90,6 @@
 	return s
 }
 
-// waitingTime returns how long a request without attempts has waited.
-func (o *owner) waitingTime(l *liveRequest) time.Duration { return max(o.now-l.acceptedAt, 0) }
-
 // waitsFor returns what a queued request waits for.
 func (o *owner) waitsFor(now time.Duration, l *liveRequest) string {
 	switch l.phase {
--- a/server/slo_test.go
+++ b/server/slo_test.go
@@ -1,13 +1,11 @@
 package server
 
 import (
-	"fmt"
 	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
@@ -75,12 +73,7 @@
 		Routes: []api.Route{{Name: "drafting", Pool: "drafters", Aliases: []string{"draft"}}, {Name: "timing", Pool: "timers"}},
 		Pools:  []api.Pool{{Name: "drafters", Home: "north"}, {Name: "timers", Home: "north"}},
 	}
-	waitFor(c, "tables in force", formationTimeout, func() bool {
-		var resp api.ApplyResponse
-		change := api.ApplyRequest{ChangeID: fmt.Sprint("c", time.Now().UnixNano()), Tables: tables}
-		code, err := postJSON(vm.url()+"/v1/tables/apply", change, &resp)
-		return err == nil && code == http.StatusOK && resp.Accepted
-	})
+	applyTables(c, vm, tables)
 	waitForSLO(c, vm, map[string][2]uint64{objectives[0]: {}, objectives[1]: {}, objectives[2]: {}, objectives[3]: {2, 0}})
 	startStandinWorker(c, vm)
 	urgent := api.SubmitRequest{Caller: "bank", Key: "k1", Kind: "draft", Class: api.ClassUrgent, Resources: api.Resources{MilliCPU: 100, MemoryMB: 10}, WaitMillis: 20_000}
